--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# The verbs a maintainer uses. "make" lists them.
+GO ?= go
+
+.PHONY: help build check fmt lint test demo
+
+help: ## list the verbs
+	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/^([a-z]+):.*## /\1\t/' | expand -t 12
+
+build: ## build both programs into bin/
+	$(GO) build -o bin/ ./cmd/...
+
+fmt: ## format all Go files
+	gofmt -w $$(git ls-files '*.go')
+
+lint: ## run vet and staticcheck
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+check: build lint ## check formatting, lint and examples
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
+	./bin/snipeford check -settings examples/quindio/node.toml -rules examples/quindio/rules.toml
+	./bin/snipeford check -settings examples/uwimana/node.toml -rules examples/uwimana/rules.toml
+
+test: ## pass all tests
+	$(GO) test ./...
+
+demo: build ## run a whole small fleet and send it a mixed load
+	./bin/standin demo
--- /dev/null
+++ b/cmd/standin/verb/load.go
@@ -0,0 +1,76 @@
+package verb
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"snipeford"
+	"snipeford/internal/control/timer"
+	"snipeford/internal/experiment/arrival"
+	"snipeford/internal/experiment/load"
+)
+
+// QuindioShares is the part of the requests of each example organisation: a
+// few are large.
+var QuindioShares = []arrival.Share{
+	{Name: "SupplierReview", Part: 0.30}, {Name: "RetailAudit", Part: 0.18}, {Name: "HotelPereira", Part: 0.14},
+	{Name: "CareDesk", Part: 0.08}, {Name: "MarketStalls", Part: 0.07}, {Name: "HotelArmenia", Part: 0.06},
+	{Name: "Foremen", Part: 0.05}, {Name: "Warehouse", Part: 0.05}, {Name: "Bookkeeping", Part: 0.04}, {Name: "Workshop", Part: 0.03},
+}
+
+type loadVerb struct {
+	nodes    string
+	rate     float64
+	duration time.Duration
+	seed     uint64
+}
+
+func (*loadVerb) Name() string     { return "load" }
+func (*loadVerb) Synopsis() string { return "send a seeded load to running nodes on loopback" }
+func (*loadVerb) Usage() string {
+	return "load -nodes CALLER/OPERATOR,... [-rate N] [-duration D] [-seed N]\n  Example: standin load -nodes 127.0.0.1:8101/127.0.0.1:8301 -rate 10 -duration 20s\n"
+}
+
+func (v *loadVerb) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&v.nodes, "nodes", "127.0.0.1:8101/127.0.0.1:8301", "callers' and operators' addresses of the nodes")
+	f.Float64Var(&v.rate, "rate", 10, "requests a second")
+	f.DurationVar(&v.duration, "duration", 20*time.Second, "length of the run, at most 10 minutes")
+	f.Uint64Var(&v.seed, "seed", 1, "seed")
+}
+
+func (v *loadVerb) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	t := &timer.Service{}
+	b := &load.Balancer{Timer: t}
+	for _, pair := range strings.Split(v.nodes, ",") {
+		caller, operator, ok := strings.Cut(pair, "/")
+		if !ok || !strings.HasPrefix(caller, "127.") || !strings.HasPrefix(operator, "127.") {
+			return fail(fmt.Errorf("%q is not CALLER/OPERATOR on loopback", pair))
+		}
+		b.Targets = append(b.Targets, load.Target{Caller: caller, Operator: operator})
+	}
+	go b.Run(ctx)
+	t.Sleep(ctx, time.Second)
+	c := &load.Client{
+		HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}}, Timer: t, Pick: b.Pick,
+		Model: "OilReader", Service: "Orders", OrderPath: "/dispatch", LookupPath: "/stock",
+		KeyOf:  func(o snipeford.Organisation) string { return "example-key-" + string(o) },
+		Prefix: fmt.Sprintf("load-%d", v.seed), Resumes: 3,
+	}
+	mix := arrival.Mix{
+		Seed: v.seed, Rate: v.rate, Duration: min(v.duration, 10*time.Minute), Organisations: QuindioShares,
+		Bands: arrival.DefaultBands, Orders: 0.1, Lookups: 0.1, Shared: 0.3, SharedKinds: 20,
+	}
+	summary := load.Summarize(load.Run(ctx, c, arrival.Draw(mix), os.Stdout))
+	summary.Print(os.Stdout)
+	if summary.Broken > 0 {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/cmd/standin/verb/verb.go
@@ -0,0 +1,60 @@
+// Package verb holds the verbs of the standin command line, one a file.
+package verb
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"snipeford/internal/control/timer"
+	"snipeford/internal/emulate/fault"
+)
+
+// Table lists the verbs.
+var Table = []subcommands.Command{
+	&tableVerb{}, &vmsVerb{}, &engineVerb{}, &serviceVerb{}, &loadVerb{}, &demoVerb{},
+}
+
+// Run parses the process's arguments and runs the verb. The result is the
+// process's exit code.
+func Run(ctx context.Context) int {
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	top := flag.NewFlagSet("standin", flag.ContinueOnError)
+	commander := subcommands.NewCommander(top, "standin")
+	commander.Register(commander.HelpCommand(), "")
+	for _, v := range Table {
+		commander.Register(v, "")
+	}
+	if err := top.Parse(os.Args[1:]); err != nil {
+		return int(subcommands.ExitUsageError)
+	}
+	return int(commander.Execute(ctx))
+}
+
+func fail(err error) subcommands.ExitStatus {
+	fmt.Fprintln(os.Stderr, "standin:", err)
+	return subcommands.ExitFailure
+}
+
+// serve answers at the address, through a gate for faults, until ctx ends.
+func serve(ctx context.Context, address string, t *timer.Service, handler http.Handler) subcommands.ExitStatus {
+	gate := &fault.Gate{Timer: t}
+	server := &http.Server{Addr: address, Handler: gate.Wrap(handler), ReadHeaderTimeout: 10 * time.Second}
+	go func() {
+		<-ctx.Done()
+		server.Close()
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return fail(err)
+	}
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/control/reducer/group.go
@@ -0,0 +1,584 @@
+package reducer
+
+import (
+	"strings"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/policy/queue"
+	"snipeford/internal/policy/retry"
+	"snipeford/internal/policy/route"
+	"snipeford/internal/policy/window"
+)
+
+// Constants of the home role.
+const (
+	// firstRate is the prefill speed assumed of an engine before it was seen.
+	firstRate snipeford.TokensPerSecond = 50_000
+	// rateSmoothing is the weight of the newest observed prefill speed.
+	rateSmoothing = 0.1
+	// rateFrom is the least prompt from which a prefill speed is learned.
+	rateFrom snipeford.Tokens = 8_192
+	// loadSmoothing is the weight of the newest second in a band's load.
+	loadSmoothing = 0.2
+	arrangeEvery  = 1 * time.Second
+	// firstTokenGrace is what an idle engine takes beyond the prefill itself.
+	firstTokenGrace = 50 * time.Millisecond
+)
+
+// group is the replicas of one model in one failure domain, as this node sees
+// them. The home is set only while this node is the group's home.
+type group struct {
+	name    snipeford.Group
+	row     snipeford.HomeRow
+	summary snipeford.GroupSummary
+	heard   snipeford.Instant
+	// sent is the work that this entry sent since the last summary.
+	sent snipeford.Tokens
+	// memory is the replicas' memory together, by the platform's list.
+	memory     snipeford.Tokens
+	dispatcher *dispatcher
+}
+
+// home is the state by which this node decides for a group.
+type dispatcher struct {
+	fence    snipeford.Fence
+	queue    snipeford.Queue
+	router   snipeford.Router
+	affinity route.Affinity
+	replicas []*replica
+	views    []*snipeford.Replica
+	running  map[snipeford.CallID]*running
+	calls    map[snipeford.CallID]snipeford.Call
+	arriving [snipeford.BandCount]snipeford.Tokens
+	load     [snipeford.BandCount]snipeford.TokensPerSecond
+	arranged snipeford.Instant
+	// claimed holds the replicas that a prompt larger than one engine waits for.
+	claimed   []*replica
+	claimedBy snipeford.CallID
+}
+
+// replica is one upstream with what its home knows of it.
+type replica struct {
+	snipeford.Replica
+	upstream    snipeford.Upstream
+	window      snipeford.Window
+	incarnation snipeford.Incarnation
+	// foreign counts requests that an earlier home dispatched.
+	foreign int
+	own     int
+	// longs counts longer prompts before their first token, and longWork is
+	// the estimate of their remaining prompt work as of worked.
+	longs    int
+	longWork float64
+	worked   snipeford.Instant
+	claimed  bool
+}
+
+// running is one dispatched call.
+type running struct {
+	w       *snipeford.Waiting
+	parts   []*replica
+	started snipeford.Instant
+	first   bool
+	alone   bool
+}
+
+func (s *State) newDispatcher(name snipeford.Group, fence snipeford.Fence) *dispatcher {
+	queueName, routeName := s.settings.Queue, s.settings.Route
+	if strings.HasPrefix(string(name.Model), "service/") {
+		routeName = "LeastOutstanding"
+	}
+	// The settings were checked at the start, so that both names are known.
+	q, _ := queue.New(queueName)
+	r, _ := route.New(routeName)
+	return &dispatcher{
+		fence:   fence,
+		queue:   q,
+		router:  r,
+		running: map[snipeford.CallID]*running{},
+		calls:   map[snipeford.CallID]snipeford.Call{},
+	}
+}
+
+func (d *dispatcher) usable() int {
+	n := 0
+	for _, r := range d.replicas {
+		if r.Usable {
+			n++
+		}
+	}
+	return n
+}
+
+// holds reports whether the group's replicas together have the memory.
+func (g *group) holds(c snipeford.Call) bool {
+	return g.memory == 0 || c.Prompt+c.MaxOutput <= g.memory
+}
+
+// cost returns the wait of a call in tokens of one replica's work.
+func (g *group) cost(now snipeford.Instant, c snipeford.Call) snipeford.Tokens {
+	summary := g.summary
+	if g.dispatcher != nil {
+		summary = g.summarize(now)
+	}
+	if snipeford.BandOf(c.Prompt) == snipeford.BandShort {
+		return summary.ShortCost
+	}
+	if summary.Usable == 0 {
+		return summary.Backlog
+	}
+	return (summary.Backlog + g.sent) / snipeford.Tokens(summary.Usable)
+}
+
+// summarize returns what the home tells the entries.
+func (g *group) summarize(now snipeford.Instant) snipeford.GroupSummary {
+	d := g.dispatcher
+	out := snipeford.GroupSummary{Group: g.name, Fence: d.fence, Backlog: d.queue.Work()}
+	lowest := snipeford.Tokens(-1)
+	for _, r := range d.replicas {
+		if !r.Usable {
+			continue
+		}
+		r.refresh(now)
+		out.Usable++
+		out.Memory += r.Memory
+		out.Largest = max(out.Largest, r.Memory)
+		out.Rate += r.Rate
+		out.Backlog += r.Prefill
+		if cost := r.shortCost(); lowest < 0 || cost < lowest {
+			lowest = cost
+		}
+	}
+	out.ShortCost = max(lowest, 0)
+	return out
+}
+
+func (r *replica) shortCost() snipeford.Tokens {
+	cost := r.ShortPrefill
+	if r.Running >= r.Window {
+		cost += firstTokenWait
+	}
+	if r.longs > 0 {
+		cost += sharedStep
+	}
+	return cost
+}
+
+// Costs of a short prompt in tokens: for sharing steps with a long one, and
+// for a full window.
+const (
+	sharedStep     snipeford.Tokens = 1_000
+	firstTokenWait snipeford.Tokens = 50_000
+)
+
+// refresh brings the estimates that the policies see up to date.
+func (r *replica) refresh(now snipeford.Instant) {
+	elapsed := now.Sub(r.worked).Seconds()
+	r.worked = now
+	r.longWork = max(float64(r.longs), r.longWork-elapsed*float64(r.Rate))
+	if r.longs == 0 {
+		r.longWork = 0
+	}
+	r.Prefill = snipeford.Tokens(r.longWork) + r.ShortPrefill
+	r.Running = r.own + r.foreign
+	r.Window = r.window.Limit()
+}
+
+// offered takes a call into the group's queue, or sends it back.
+func (s *State) offered(now snipeford.Instant, e Offered) {
+	g := s.groups[e.Group]
+	if g == nil || g.dispatcher == nil || !s.holds(now, g) {
+		s.emit(Bounce{e.Call.ID, e.Group, snipeford.CauseNotHome, snipeford.NotRun, 0})
+		return
+	}
+	d := g.dispatcher
+	if d.usable() == 0 {
+		s.emit(Bounce{e.Call.ID, e.Group, snipeford.CauseNoUpstream, snipeford.NotRun, comeBackSoon})
+		return
+	}
+	w := s.waiting(now, e.Call)
+	d.arriving[w.Band()] += w.Prompt
+	if late := g.late(now, w); late > 0 {
+		s.emit(Bounce{e.Call.ID, e.Group, snipeford.CauseOverload, snipeford.NotRun, late})
+		return
+	}
+	s.accept(g, e.Call)
+	d.queue.Push(w)
+	s.dispatch(now, g)
+}
+
+func (s *State) waiting(now snipeford.Instant, c snipeford.Call) *snipeford.Waiting {
+	weight := s.configuration.Rules.Organisations[c.Organisation].Weight
+	if weight <= 0 {
+		weight = 1
+	}
+	return &snipeford.Waiting{
+		Call:         c.ID,
+		Organisation: c.Organisation,
+		Weight:       weight,
+		Prompt:       c.Prompt,
+		Output:       s.expectedOutput(c),
+		MaxOutput:    c.MaxOutput,
+		Offset:       c.Offset,
+		Prefix:       c.Prefix,
+		Arrival:      now,
+		GiveUp:       c.GiveUp,
+	}
+}
+
+// late returns by how much the call's first token would come after it gives
+// up, or zero.
+func (g *group) late(now snipeford.Instant, w *snipeford.Waiting) time.Duration {
+	summary := g.summarize(now)
+	if summary.Rate <= 0 {
+		return 0
+	}
+	ahead := g.dispatcher.queue.Ahead(w)
+	if w.Band() != snipeford.BandShort {
+		ahead += summary.Backlog - g.dispatcher.queue.Work()
+	}
+	wait := time.Duration(float64(ahead) / float64(summary.Rate) * float64(time.Second))
+	return max(0, wait-w.GiveUp.Sub(now))
+}
+
+// dispatch sends what the policies place now.
+func (s *State) dispatch(now snipeford.Instant, g *group) {
+	d := g.dispatcher
+	if d.queue.Len() == 0 || !s.holds(now, g) {
+		return
+	}
+	s.arrange(now, d)
+	for _, r := range d.replicas {
+		r.refresh(now)
+	}
+	for d.queue.Len() > 0 {
+		var parts []*replica
+		w := d.queue.Next(now, func(w *snipeford.Waiting) bool {
+			parts = d.pick(w)
+			return parts != nil
+		})
+		if w == nil {
+			return
+		}
+		s.send(now, g, w, parts)
+	}
+}
+
+// arrange lets the router move its split with the load.
+func (s *State) arrange(now snipeford.Instant, d *dispatcher) {
+	elapsed := now.Sub(d.arranged)
+	if elapsed < arrangeEvery {
+		return
+	}
+	d.arranged = now
+	for band, tokens := range d.arriving {
+		rate := snipeford.TokensPerSecond(float64(tokens) / elapsed.Seconds())
+		d.load[band] += loadSmoothing * (rate - d.load[band])
+		d.arriving[band] = 0
+	}
+	d.router.Arrange(d.views, d.load)
+}
+
+// pick returns the replicas for a call, or nil where it has to wait.
+func (d *dispatcher) pick(w *snipeford.Waiting) []*replica {
+	if d.claimedBy == w.Call || w.Memory() > d.largest() {
+		return d.pickSeveral(w)
+	}
+	chosen := d.router.Pick(w, d.open(w), d.affinity.Cached(w.Prefix))
+	if chosen == nil {
+		return nil
+	}
+	for _, r := range d.replicas {
+		if &r.Replica == chosen {
+			return []*replica{r}
+		}
+	}
+	return nil
+}
+
+// open returns the replicas that a call may go to: those that a larger prompt
+// has claimed take only short ones.
+func (d *dispatcher) open(w *snipeford.Waiting) []*snipeford.Replica {
+	if len(d.claimed) == 0 || w.Band() == snipeford.BandShort {
+		return d.views
+	}
+	var out []*snipeford.Replica
+	for i, r := range d.replicas {
+		if !r.claimed {
+			out = append(out, d.views[i])
+		}
+	}
+	return out
+}
+
+func (d *dispatcher) largest() snipeford.Tokens {
+	var n snipeford.Tokens
+	for _, r := range d.replicas {
+		if r.Usable {
+			n = max(n, r.Memory)
+		}
+	}
+	return n
+}
+
+// send makes a waiting call a running one.
+func (s *State) send(now snipeford.Instant, g *group, w *snipeford.Waiting, parts []*replica) {
+	d := g.dispatcher
+	w.Attempts++
+	run := &running{w: w, parts: parts, started: now, alone: true}
+	effect := Dispatch{
+		Call:     w.Call,
+		Priority: d.router.Priority(w),
+		Fence:    d.fence,
+		Until:    s.until(now),
+		Offset:   w.Offset,
+		Attempt:  w.Attempts,
+		Waited:   now.Sub(w.Arrival),
+	}
+	memory := w.Memory() / snipeford.Tokens(len(parts))
+	prompt := w.Prompt / snipeford.Tokens(len(parts))
+	for i, r := range parts {
+		run.alone = run.alone && r.longs == 0 && len(parts) == 1
+		r.take(w, prompt, memory)
+		from := prompt * snipeford.Tokens(i)
+		to := from + prompt
+		if i == len(parts)-1 {
+			to = w.Prompt
+		}
+		effect.Parts = append(effect.Parts, Part{r.upstream, from, to})
+	}
+	if len(parts) == 1 {
+		d.affinity.Remember(w.Prefix, parts[0].ID)
+	}
+	d.running[w.Call] = run
+	s.emit(effect)
+}
+
+// take counts a dispatched call at a replica.
+func (r *replica) take(w *snipeford.Waiting, prompt, memory snipeford.Tokens) {
+	r.own++
+	r.Committed += memory
+	if w.Band() == snipeford.BandShort {
+		r.ShortPrefill += prompt
+	} else {
+		r.longs++
+		r.longWork += float64(prompt)
+	}
+	r.Running = r.own + r.foreign
+	r.Prefill += prompt
+}
+
+// prefilled counts a call's prompt work as done.
+func (r *replica) prefilled(w *snipeford.Waiting, prompt snipeford.Tokens) {
+	if w.Band() == snipeford.BandShort {
+		r.ShortPrefill -= prompt
+		return
+	}
+	r.longs--
+}
+
+// find returns the group that dispatches a call, and its running attempt.
+func (s *State) find(id snipeford.CallID) (*group, *running) {
+	g := s.homed[id]
+	if g == nil {
+		return nil, nil
+	}
+	return g, g.dispatcher.running[id]
+}
+
+// accept and forget keep the dispatcher's calls and the index of them.
+func (s *State) accept(g *group, c snipeford.Call) {
+	g.dispatcher.calls[c.ID] = c
+	s.homed[c.ID] = g
+}
+
+func (s *State) forget(g *group, id snipeford.CallID) {
+	g.dispatcher.unclaim(id)
+	delete(g.dispatcher.calls, id)
+	delete(s.homed, id)
+}
+
+func (s *State) firstToken(now snipeford.Instant, id snipeford.CallID) {
+	g, run := s.find(id)
+	if run == nil || run.first {
+		return
+	}
+	run.first = true
+	run.markPrefilled()
+	last := run.parts[len(run.parts)-1]
+	took := now.Sub(run.started)
+	if run.alone && run.w.Prompt >= rateFrom {
+		seen := float64(run.w.Prompt) / took.Seconds()
+		last.Rate += snipeford.TokensPerSecond(rateSmoothing * (seen - float64(last.Rate)))
+	}
+	expected := time.Duration(float64(run.w.Prompt)/float64(firstRate)*float64(time.Second)) + firstTokenGrace
+	last.window.Succeeded(now, took, expected)
+	s.dispatch(now, g)
+}
+
+func (run *running) markPrefilled() {
+	prompt := run.w.Prompt / snipeford.Tokens(len(run.parts))
+	for _, r := range run.parts {
+		r.prefilled(run.w, prompt)
+	}
+}
+
+// release takes a call off its replicas.
+func (g *group) release(run *running) {
+	if !run.first {
+		run.markPrefilled()
+	}
+	memory := run.w.Memory() / snipeford.Tokens(len(run.parts))
+	for _, r := range run.parts {
+		r.own--
+		r.Committed -= memory
+	}
+	delete(g.dispatcher.running, run.w.Call)
+}
+
+func (s *State) attemptEnded(now snipeford.Instant, e AttemptEnded) {
+	g, run := s.find(e.Call)
+	if run == nil {
+		s.orphanEnded(e)
+		return
+	}
+	g.release(run)
+	w := run.w
+	c := g.dispatcher.calls[e.Call]
+	switch e.End {
+	case snipeford.EndDone:
+		s.learnOutput(w.Organisation, c.MaxOutput, e.Offset)
+		s.forget(g, e.Call)
+		s.emit(Complete{e.Call})
+	case snipeford.EndCancelled:
+		s.forget(g, e.Call)
+	default:
+		s.failed(now, g, run, c, e)
+	}
+	s.dispatch(now, g)
+}
+
+// orphanEnded ends a call whose group was handed over while it ran.
+func (s *State) orphanEnded(e AttemptEnded) {
+	switch e.End {
+	case snipeford.EndDone:
+		s.emit(Complete{e.Call})
+	case snipeford.EndUnsent:
+		s.emit(Bounce{e.Call, snipeford.Group{}, snipeford.CauseNotHome, snipeford.NotRun, 0})
+	case snipeford.EndCancelled:
+	default:
+		s.emit(Bounce{e.Call, snipeford.Group{}, snipeford.CauseUpstreamFailed, snipeford.Unknown, comeBackSoon})
+	}
+}
+
+// failed queues a lost call again where it may be, or sends it back.
+func (s *State) failed(now snipeford.Instant, g *group, run *running, c snipeford.Call, e AttemptEnded) {
+	w := run.w
+	for _, r := range run.parts {
+		r.window.Failed(now)
+	}
+	unsent := e.End == snipeford.EndUnsent
+	w.Offset = max(w.Offset, e.Offset)
+	w.NotBefore = retry.At(now, w.Attempts, c.Seed)
+	allowed := c.Idempotent || unsent
+	if allowed && w.NotBefore < c.Deadline && g.dispatcher.usable() > 0 && s.retries.Take(w.Attempts) {
+		w.GiveUp = max(w.GiveUp, min(now.Add(retryWait), c.Deadline))
+		g.dispatcher.queue.Push(w)
+		return
+	}
+	s.forget(g, e.Call)
+	outcome := snipeford.Unknown
+	if unsent && w.Attempts == 1 {
+		outcome = snipeford.NotRun
+	}
+	s.emit(Bounce{e.Call, g.name, snipeford.CauseUpstreamFailed, outcome, comeBackSoon})
+}
+
+// retryWait is the least time that a retried call may wait in the queue.
+const retryWait = 3 * time.Second
+
+// withdrawn drops a call that nobody waits for any more.
+func (s *State) withdrawn(id snipeford.CallID) {
+	g := s.homed[id]
+	if g != nil && g.dispatcher.queue.Remove(id) != nil {
+		s.forget(g, id)
+	}
+	s.emit(Cancel{id})
+}
+
+// expire sends back the calls that waited too long.
+func (s *State) expire(now snipeford.Instant, g *group) {
+	for _, w := range g.dispatcher.queue.Expired(now) {
+		s.forget(g, w.Call)
+		s.emit(Bounce{w.Call, g.name, snipeford.CauseDeadline, outcomeOf(w), comeBackSoon})
+	}
+}
+
+// outcomeOf says whether any upstream was sent a call that waits.
+func outcomeOf(w *snipeford.Waiting) snipeford.Outcome {
+	if w.Attempts > 0 {
+		return snipeford.Unknown
+	}
+	return snipeford.NotRun
+}
+
+func (s *State) loadReported(now snipeford.Instant, l snipeford.Load) {
+	u, ok := s.upstreams[l.Upstream]
+	if !ok {
+		return
+	}
+	g := s.groups[groupOf(u)]
+	if g == nil || g.dispatcher == nil {
+		return
+	}
+	for _, r := range g.dispatcher.replicas {
+		if r.ID == l.Upstream {
+			g.dispatcher.report(now, r, l)
+		}
+	}
+	s.dispatch(now, g)
+}
+
+func (d *dispatcher) report(now snipeford.Instant, r *replica, l snipeford.Load) {
+	if l.Incarnation != r.incarnation {
+		d.affinity.Forget(r.ID)
+		if r.incarnation == "" {
+			r.foreign = l.Running + l.Waiting
+		} else {
+			r.foreign = 0
+		}
+		r.incarnation = l.Incarnation
+	}
+	r.foreign = min(r.foreign, l.Running+l.Waiting)
+	if l.MemorySize > 0 {
+		r.Memory = l.MemorySize
+	}
+	r.window.Reported(l, now)
+}
+
+func (s *State) cacheEvicted(e CacheEvicted) {
+	u, ok := s.upstreams[e.Upstream]
+	if !ok {
+		return
+	}
+	if g := s.groups[groupOf(u)]; g != nil && g.dispatcher != nil {
+		g.dispatcher.affinity.Evicted(e.Block, e.Upstream)
+	}
+}
+
+// groupOf returns the group of an engine or of a plain service's replica.
+func groupOf(u snipeford.Upstream) snipeford.Group {
+	if u.Kind == snipeford.KindService {
+		return snipeford.Group{Model: snipeford.ServiceModel(u.Service), Domain: u.Domain}
+	}
+	return u.Group()
+}
+
+func newReplica(u snipeford.Upstream) *replica {
+	r := &replica{upstream: u, window: window.New()}
+	r.ID = u.ID
+	r.Memory = u.Memory
+	r.Rate = firstRate
+	return r
+}
--- /dev/null
+++ b/internal/control/reducer/membership.go
@@ -0,0 +1,271 @@
+package reducer
+
+import (
+	"errors"
+	"sort"
+
+	"snipeford"
+	"snipeford/internal/fleet/home"
+	"snipeford/internal/fleet/lease"
+	"snipeford/internal/policy/limit"
+)
+
+// tickMembership renews the lease, reads the rows, and tells the peers.
+func (s *State) tickMembership(now snipeford.Instant) {
+	if due(&s.due.renewal, now, lease.Renewal) {
+		s.emit(RenewLease{s.self()})
+	}
+	if due(&s.due.rows, now, readRowsEvery) {
+		s.emit(ReadRows{})
+	}
+	if due(&s.due.upstreams, now, readUpstreamsEvery) {
+		s.emit(ReadUpstreams{})
+	}
+	if due(&s.due.version, now, readVersionEvery) {
+		s.emit(ReadConfiguration{s.configuration.Version})
+	}
+	if due(&s.due.heartbeat, now, heartbeatEvery) {
+		s.cutOffShares(now)
+		s.sendHeartbeats(now)
+	}
+}
+
+func (s *State) self() snipeford.Member {
+	m := s.settings.Member
+	m.Leaving = s.leaving
+	return m
+}
+
+func (s *State) leaseAnswered(now snipeford.Instant, e LeaseAnswered) {
+	switch {
+	case e.Err == nil:
+		s.own.Renewed(e.Sent)
+		s.tableAnswered(now)
+	case errors.Is(e.Err, snipeford.ErrConflict):
+		s.own.Lost()
+		s.tableAnswered(now)
+	default:
+		s.tableUp = false
+	}
+}
+
+func (s *State) tableAnswered(now snipeford.Instant) {
+	s.tableUp = true
+	s.tableSeen = now
+}
+
+func (s *State) rowsRead(now snipeford.Instant, e RowsRead) {
+	if e.Err != nil {
+		s.tableUp = false
+		return
+	}
+	s.tableAnswered(now)
+	s.view.Read(now, e.Leases)
+	s.members = s.view.Members()
+	sort.Slice(s.members, func(i, j int) bool { return s.members[i].Node < s.members[j].Node })
+	for _, row := range e.Homes {
+		s.homeRowRead(row)
+	}
+}
+
+// homeRowRead takes in who is a group's home.
+func (s *State) homeRowRead(row snipeford.HomeRow) {
+	g := s.ensureGroup(row.Group)
+	if row.Fence < g.row.Fence {
+		return
+	}
+	g.row = row
+	if g.dispatcher != nil && (row.Fence > g.dispatcher.fence || !s.isSelf(row)) {
+		s.loseHome(g)
+	}
+}
+
+func (s *State) isSelf(row snipeford.HomeRow) bool {
+	return row.Node == s.settings.Member.Node && row.Incarnation == s.settings.Member.Incarnation
+}
+
+func (s *State) heartbeatHeard(now snipeford.Instant, b snipeford.Heartbeat) {
+	s.peers[b.Node] = peer{now, b}
+	if b.Configuration > s.configuration.Version {
+		s.emit(FetchConfiguration{b.Member})
+	}
+	for _, summary := range b.Groups {
+		s.summaryHeard(now, b.Member, summary)
+	}
+	for _, w := range b.Wants {
+		s.lender(now, w.Organisation).Report(b.Node, w.Wanted, w.InForce)
+	}
+	for _, grant := range b.Grants {
+		s.account(now, grant.Organisation).Adopt(s.limitRule(grant.Organisation), grant.Share, now)
+	}
+}
+
+// summaryHeard takes in a home's summary. A higher fence than the one known
+// from the table names a new home before the next scan does.
+func (s *State) summaryHeard(now snipeford.Instant, m snipeford.Member, summary snipeford.GroupSummary) {
+	g := s.ensureGroup(summary.Group)
+	if summary.Fence < g.row.Fence {
+		return
+	}
+	if summary.Fence > g.row.Fence {
+		g.row = snipeford.HomeRow{Group: summary.Group, Node: m.Node, Incarnation: m.Incarnation, Fence: summary.Fence}
+		if g.dispatcher != nil {
+			s.loseHome(g)
+		}
+	}
+	g.summary, g.heard, g.sent = summary, now, 0
+}
+
+// fresh returns the peers that were heard lately.
+func (s *State) fresh(now snipeford.Instant) []peer {
+	var out []peer
+	for _, p := range s.peers {
+		if now.Sub(p.heard) < peerFresh {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// tableDown tells an outage of the table from this node being cut off: the
+// table answers neither this node nor any peer, and most peers are heard.
+func (s *State) tableDown(now snipeford.Instant) bool {
+	if s.tableUp {
+		return false
+	}
+	fresh := s.fresh(now)
+	for _, p := range fresh {
+		if p.beat.TableUp {
+			return false
+		}
+	}
+	return 2*len(fresh) >= len(s.members)-1
+}
+
+func (s *State) sendHeartbeats(now snipeford.Instant) {
+	base := snipeford.Heartbeat{Member: s.self(), Configuration: s.configuration.Version, TableUp: s.tableUp}
+	for _, g := range s.sortedHomes() {
+		if s.holds(now, g) {
+			base.Groups = append(base.Groups, g.summarize(now))
+		}
+	}
+	wants := s.collectWants()
+	for _, m := range s.knownMembers() {
+		if m.Node == s.settings.Member.Node {
+			s.reportOwnWants(now, wants[m.Node])
+			continue
+		}
+		b := base
+		b.Wants = wants[m.Node]
+		b.Grants = s.grantsFor(now, m.Node)
+		s.emit(SendHeartbeat{m, b})
+	}
+}
+
+func (s *State) sortedHomes() []*group {
+	var out []*group
+	for _, g := range s.groups {
+		if g.dispatcher != nil {
+			out = append(out, g)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].name.String() < out[j].name.String() })
+	return out
+}
+
+// knownMembers returns the live members by the table and, while it is down,
+// the peers that were heard.
+func (s *State) knownMembers() []snipeford.Member {
+	out := append([]snipeford.Member(nil), s.members...)
+	for _, p := range s.peers {
+		if !containsMember(out, p.beat.Node) {
+			out = append(out, p.beat.Member)
+		}
+	}
+	if !containsMember(out, s.settings.Member.Node) {
+		out = append(out, s.self())
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
+
+func containsMember(list []snipeford.Member, n snipeford.NodeID) bool {
+	for _, m := range list {
+		if m.Node == n {
+			return true
+		}
+	}
+	return false
+}
+
+// collectWants sorts this node's use of the limits by the lender of each
+// organisation, and starts the next report.
+func (s *State) collectWants() map[snipeford.NodeID][]snipeford.ShareWant {
+	out := map[snipeford.NodeID][]snipeford.ShareWant{}
+	for _, o := range s.sortedAccounts() {
+		a := s.accounts[o]
+		lender := home.OfOrganisation(o, s.members)
+		out[lender] = append(out[lender], snipeford.ShareWant{Organisation: o, Wanted: a.Wanted, InForce: a.Share()})
+		a.Wanted = 0
+	}
+	return out
+}
+
+func (s *State) sortedAccounts() []snipeford.Organisation {
+	out := make([]snipeford.Organisation, 0, len(s.accounts))
+	for o := range s.accounts {
+		out = append(out, o)
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i] < out[j] })
+	return out
+}
+
+// reportOwnWants lends to this node where it is the lender itself.
+func (s *State) reportOwnWants(now snipeford.Instant, wants []snipeford.ShareWant) {
+	self := s.settings.Member.Node
+	for _, w := range wants {
+		l := s.lender(now, w.Organisation)
+		l.Report(self, w.Wanted, w.InForce)
+		s.accounts[w.Organisation].Adopt(s.limitRule(w.Organisation), l.Grant(now, self, len(s.members)), now)
+	}
+}
+
+func (s *State) lender(now snipeford.Instant, o snipeford.Organisation) *limit.Lender {
+	l, ok := s.lenders[o]
+	if !ok {
+		l = limit.NewLender(now)
+		s.lenders[o] = l
+	}
+	return l
+}
+
+// grantsFor returns the shares that this node, as lender, lends to a peer.
+func (s *State) grantsFor(now snipeford.Instant, n snipeford.NodeID) []snipeford.ShareGrant {
+	var out []snipeford.ShareGrant
+	for o, l := range s.lenders {
+		if home.OfOrganisation(o, s.members) != s.settings.Member.Node {
+			delete(s.lenders, o)
+			continue
+		}
+		l.Retain(func(id snipeford.NodeID) bool { return containsMember(s.members, id) })
+		if l.Borrows(n) {
+			out = append(out, snipeford.ShareGrant{Organisation: o, Share: l.Grant(now, n, len(s.members))})
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Organisation < out[j].Organisation })
+	return out
+}
+
+// cutOffShares shrinks the shares whose lender has not been heard.
+func (s *State) cutOffShares(now snipeford.Instant) {
+	for o, a := range s.accounts {
+		lender := home.OfOrganisation(o, s.members)
+		if lender == s.settings.Member.Node || lender == "" {
+			continue
+		}
+		if p, ok := s.peers[lender]; ok && now.Sub(p.heard) < lease.TTL {
+			continue
+		}
+		a.Adopt(s.limitRule(o), limit.CutOff(a.Share(), len(s.members)), now)
+	}
+}
--- /dev/null
+++ b/internal/control/reducer/state.go
@@ -0,0 +1,194 @@
+// Package reducer decides: State takes one event at a time and returns effects
+// as data. It reads no clock, draws no random number and does no input or
+// output, so that the same code runs in a node and under virtual time.
+//
+// A call passes entry.go (admission and choice of the group), then, at the
+// group's home, group.go (queue and dispatch). membership.go and homes.go
+// decide which node is a home, limits.go lends the organisations' limits.
+package reducer
+
+import (
+	"time"
+
+	"snipeford"
+	"snipeford/internal/fleet/lease"
+	"snipeford/internal/policy/limit"
+	"snipeford/internal/policy/retry"
+)
+
+// Times of the reducer's own duties.
+const (
+	// TickEvery is the time between two Ticked events.
+	TickEvery = 50 * time.Millisecond
+
+	heartbeatEvery     = 1 * time.Second
+	readRowsEvery      = 1 * time.Second
+	pollLoadEvery      = 1 * time.Second
+	readUpstreamsEvery = 1 * time.Second
+	readVersionEvery   = 2 * time.Second
+	claimEvery         = 500 * time.Millisecond
+	// peerFresh is how long a heartbeat counts as news of the peer.
+	peerFresh = 3 * time.Second
+)
+
+// Settings says who this node is and which policies it runs.
+type Settings struct {
+	Member snipeford.Member
+	Queue  string
+	Route  string
+	// Alone makes the node the home of all groups without lease or table, as
+	// in virtual time.
+	Alone bool
+}
+
+// State is all that a node's decisions rest on.
+type State struct {
+	settings      Settings
+	configuration snipeford.Configuration
+	upstreams     map[snipeford.UpstreamID]snipeford.Upstream
+	listed        bool
+	groups        map[snipeford.Group]*group
+	byModel       map[snipeford.Model][]*group
+	calls         map[snipeford.CallID]*call
+	pending       []*call
+	// homed finds the group that dispatches a call.
+	homed     map[snipeford.CallID]*group
+	accounts  map[snipeford.Organisation]*limit.Account
+	lenders   map[snipeford.Organisation]*limit.Lender
+	outputs   map[snipeford.Organisation]float64
+	retries   retry.Budget
+	own       lease.Own
+	view      lease.View
+	members   []snipeford.Member
+	peers     map[snipeford.NodeID]peer
+	tableUp   bool
+	tableSeen snipeford.Instant
+	leaving   bool
+	due       schedule
+	out       []Effect
+}
+
+type peer struct {
+	heard snipeford.Instant
+	beat  snipeford.Heartbeat
+}
+
+// schedule holds the instants of the next periodic duties.
+type schedule struct {
+	renewal, rows, claim, heartbeat, upstreams, version, load snipeford.Instant
+}
+
+// due reports whether the duty's time has come, and sets its next time.
+func due(at *snipeford.Instant, now snipeford.Instant, every time.Duration) bool {
+	if now < *at {
+		return false
+	}
+	*at = now.Add(every)
+	return true
+}
+
+// New returns the state of a node that knows nothing yet.
+func New(settings Settings) *State {
+	return &State{
+		settings:  settings,
+		upstreams: map[snipeford.UpstreamID]snipeford.Upstream{},
+		groups:    map[snipeford.Group]*group{},
+		byModel:   map[snipeford.Model][]*group{},
+		calls:     map[snipeford.CallID]*call{},
+		homed:     map[snipeford.CallID]*group{},
+		accounts:  map[snipeford.Organisation]*limit.Account{},
+		lenders:   map[snipeford.Organisation]*limit.Lender{},
+		outputs:   map[snipeford.Organisation]float64{},
+		peers:     map[snipeford.NodeID]peer{},
+	}
+}
+
+// Apply takes in one event and returns what to do. The returned slice is valid
+// until the next call.
+func (s *State) Apply(now snipeford.Instant, e Event) []Effect {
+	s.out = s.out[:0]
+	switch e := e.(type) {
+	case Ticked:
+		s.tick(now)
+	case Arrived:
+		s.arrived(now, e.Call)
+	case Bounced:
+		s.bounced(now, e)
+	case Ended:
+		s.ended(e.Call)
+	case Offered:
+		s.offered(now, e)
+	case Withdrawn:
+		s.withdrawn(e.Call)
+	case FirstToken:
+		s.firstToken(now, e.Call)
+	case AttemptEnded:
+		s.attemptEnded(now, e)
+	case LoadReported:
+		s.loadReported(now, e.Load)
+	case CacheEvicted:
+		s.cacheEvicted(e)
+	default:
+		s.applyFleet(now, e)
+	}
+	return s.out
+}
+
+// applyFleet takes in the events that are not about calls.
+func (s *State) applyFleet(now snipeford.Instant, e Event) {
+	switch e := e.(type) {
+	case UpstreamsListed:
+		s.upstreamsListed(now, e.Upstreams)
+	case ConfigurationRead:
+		s.configurationRead(now, e.Configuration)
+	case LeaseAnswered:
+		s.leaseAnswered(now, e)
+	case RowsRead:
+		s.rowsRead(now, e)
+	case HomeClaimed:
+		s.homeClaimed(now, e)
+	case HomeReleased:
+		s.homeReleased(e.Group)
+	case HeartbeatHeard:
+		s.heartbeatHeard(now, e.Heartbeat)
+	case LeaveOrdered:
+		s.leave()
+	}
+}
+
+func (s *State) emit(e Effect) { s.out = append(s.out, e) }
+
+func (s *State) tick(now snipeford.Instant) {
+	if !s.settings.Alone {
+		s.tickMembership(now)
+		s.tickHomes(now)
+	}
+	polled := due(&s.due.load, now, pollLoadEvery)
+	for _, g := range s.groups {
+		if g.dispatcher == nil {
+			continue
+		}
+		if polled {
+			s.pollLoads(g)
+		}
+		s.expire(now, g)
+		s.dispatch(now, g)
+	}
+	s.retryPending(now)
+}
+
+func (s *State) pollLoads(g *group) {
+	for _, r := range g.dispatcher.replicas {
+		s.emit(PollLoad{r.upstream})
+	}
+}
+
+// Ready reports whether the node can serve: it has a configuration and knows
+// the upstreams.
+func (s *State) Ready() bool { return s.configuration.Version > 0 && s.listed && !s.leaving }
+
+// Configuration returns the configuration in force at this node.
+func (s *State) Configuration() snipeford.Configuration { return s.configuration }
+
+// Retries returns the retry budget's counts.
+func (s *State) Retries() (offered, retried int) { return s.retries.Offered, s.retries.Retried }
--- /dev/null
+++ b/internal/control/reducer/status.go
@@ -0,0 +1,136 @@
+package reducer
+
+import (
+	"sort"
+	"time"
+
+	"snipeford"
+)
+
+// Status is what a node tells operators of itself.
+type Status struct {
+	Node          snipeford.NodeID
+	FailureDomain snipeford.FailureDomain
+	Incarnation   snipeford.Incarnation
+	Ready         bool
+	Leaving       bool
+	TableUp       bool
+	LeaseHeld     bool
+	Configuration snipeford.Version
+	Calls         int
+	Offered       int
+	Retried       int
+	Members       []snipeford.Member
+	Groups        []GroupStatus
+	Limits        []LimitStatus
+}
+
+// GroupStatus is one group that the node is the home of.
+type GroupStatus struct {
+	Group     snipeford.Group
+	Fence     snipeford.Fence
+	Waiting   map[snipeford.Organisation]int
+	Work      snipeford.Tokens
+	Running   int
+	Claimed   bool
+	Upstreams []UpstreamStatus
+}
+
+// UpstreamStatus is one upstream as its home sees it.
+type UpstreamStatus struct {
+	Upstream  snipeford.UpstreamID
+	State     snipeford.WindowState
+	Running   int
+	Window    int
+	Committed snipeford.Tokens
+	Memory    snipeford.Tokens
+	Short     bool
+}
+
+// LimitStatus is one organisation's share at the node.
+type LimitStatus struct {
+	Organisation snipeford.Organisation
+	Share        float64
+	Running      int
+}
+
+// Status returns what the node knows now.
+func (s *State) Status(now snipeford.Instant) Status {
+	out := Status{
+		Node:          s.settings.Member.Node,
+		FailureDomain: s.settings.Member.Domain,
+		Incarnation:   s.settings.Member.Incarnation,
+		Ready:         s.Ready(),
+		Leaving:       s.leaving,
+		TableUp:       s.tableUp,
+		LeaseHeld:     s.own.Held(now),
+		Configuration: s.configuration.Version,
+		Calls:         len(s.calls),
+		Offered:       s.retries.Offered,
+		Retried:       s.retries.Retried,
+		Members:       s.knownMembers(),
+	}
+	for _, g := range s.sortedHomes() {
+		out.Groups = append(out.Groups, g.status())
+	}
+	for _, o := range s.sortedAccounts() {
+		a := s.accounts[o]
+		out.Limits = append(out.Limits, LimitStatus{o, a.Share(), a.Running()})
+	}
+	return out
+}
+
+func (g *group) status() GroupStatus {
+	d := g.dispatcher
+	out := GroupStatus{
+		Group:   g.name,
+		Fence:   d.fence,
+		Waiting: d.queue.ByOrganisation(),
+		Work:    d.queue.Work(),
+		Running: len(d.running),
+		Claimed: d.claimedBy != "",
+	}
+	for _, r := range d.replicas {
+		out.Upstreams = append(out.Upstreams, r.status())
+	}
+	return out
+}
+
+func (r *replica) status() UpstreamStatus {
+	state := r.window.State()
+	switch {
+	case r.upstream.Leaving:
+		state = snipeford.StateLeaving
+	case !r.Usable:
+		state = snipeford.StateOut
+	}
+	return UpstreamStatus{r.ID, state, r.own + r.foreign, r.window.Limit(), r.Committed, r.Memory, r.Short}
+}
+
+// Member finds a live member, or a peer that was heard.
+func (s *State) Member(id snipeford.NodeID) (snipeford.Member, bool) {
+	if p, ok := s.peers[id]; ok {
+		return p.beat.Member, true
+	}
+	for _, m := range s.members {
+		if m.Node == id {
+			return m, true
+		}
+	}
+	return snipeford.Member{}, false
+}
+
+// Peers returns all other members, by name.
+func (s *State) Peers() []snipeford.Member {
+	var out []snipeford.Member
+	for _, m := range s.knownMembers() {
+		if m.Node != s.settings.Member.Node {
+			out = append(out, m)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
+	return out
+}
+
+// TableSilent returns for how long the table has not answered.
+func (s *State) TableSilent(now snipeford.Instant) time.Duration { return now.Sub(s.tableSeen) }
--- /dev/null
+++ b/internal/control/timer/timer.go
@@ -0,0 +1,83 @@
+// Package timer is the one place that reads the clock. Parts subscribe to it.
+package timer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"snipeford"
+)
+
+// Service hands out monotonic instants and ticks. Its zero value works; its
+// instants count from the first use.
+type Service struct {
+	once  sync.Once
+	start time.Time
+}
+
+func (s *Service) begin() { s.once.Do(func() { s.start = time.Now() }) }
+
+// Now returns the monotonic instant.
+func (s *Service) Now() snipeford.Instant {
+	s.begin()
+	return snipeford.Instant(time.Since(s.start))
+}
+
+// Wall returns the wall-clock time, for people to read.
+func (s *Service) Wall() time.Time { return time.Now().UTC() }
+
+// Every returns a channel that gets an instant every d until ctx ends. A slow
+// subscriber misses ticks.
+func (s *Service) Every(ctx context.Context, d time.Duration) <-chan snipeford.Instant {
+	ticks := make(chan snipeford.Instant, 1)
+	ticker := time.NewTicker(d)
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+				s.offer(ticks)
+			}
+		}
+	}()
+	return ticks
+}
+
+func (s *Service) offer(ticks chan<- snipeford.Instant) {
+	select {
+	case ticks <- s.Now():
+	default:
+	}
+}
+
+// Sleep waits for d and returns false where ctx ended first.
+func (s *Service) Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// Watchdog calls expired once Feed has not been called for the timeout.
+type Watchdog struct {
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+// Watch starts a watchdog.
+func (s *Service) Watch(timeout time.Duration, expired func()) *Watchdog {
+	return &Watchdog{time.AfterFunc(timeout, expired), timeout}
+}
+
+// Feed notes a sign of life.
+func (w *Watchdog) Feed() { w.timer.Reset(w.timeout) }
+
+// Stop ends the watch.
+func (w *Watchdog) Stop() { w.timer.Stop() }
--- /dev/null
+++ b/internal/experiment/load/client.go
@@ -0,0 +1,243 @@
+package load
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/control/timer"
+	"snipeford/internal/emulate/answer"
+	"snipeford/internal/experiment/arrival"
+)
+
+// Result is what a caller saw of one request.
+type Result struct {
+	Request    arrival.Request
+	Status     int
+	FirstToken time.Duration
+	Took       time.Duration
+	// Gaps holds the times between two tokens.
+	Gaps      []time.Duration
+	Cause     string
+	Outcome   snipeford.Outcome
+	RequestID string
+	// Whole says that the answer was whole and the caller's own; Broken that
+	// an answer was taken for whole and was not.
+	Whole  bool
+	Broken bool
+	// Cut says that the connection broke before an answer or a refusal.
+	Cut     bool
+	Resumed int
+	Key     string
+}
+
+// Client is a caller.
+type Client struct {
+	HTTP    *http.Client
+	Timer   *timer.Service
+	Pick    func() string
+	Model   snipeford.Model
+	Service snipeford.ServiceName
+	// OrderPath and LookupPath are paths of the service.
+	OrderPath, LookupPath string
+	// KeyOf returns an organisation's bearer key.
+	KeyOf func(snipeford.Organisation) string
+	// Prefix makes the idempotency keys of this run its own.
+	Prefix string
+	// Resumes is how often a cut stream is resumed at another node.
+	Resumes int
+}
+
+// Do runs one request to its end.
+func (c *Client) Do(ctx context.Context, q arrival.Request) Result {
+	start := c.Timer.Now()
+	var r Result
+	switch q.Kind {
+	case arrival.Completion:
+		r = c.complete(ctx, q, start)
+	case arrival.Order:
+		key := c.Prefix + "-" + strconv.Itoa(q.Number)
+		r = c.call(ctx, q, http.MethodPost, c.OrderPath, key)
+	case arrival.Lookup:
+		r = c.call(ctx, q, http.MethodGet, c.LookupPath, "")
+	}
+	r.Request = q
+	r.Took = c.Timer.Now().Sub(start)
+	return r
+}
+
+type completionBody struct {
+	Model     snipeford.Model  `json:"model"`
+	Prompt    string           `json:"prompt"`
+	MaxTokens snipeford.Tokens `json:"max_tokens"`
+	Stream    bool             `json:"stream"`
+}
+
+// completion is the state of one streamed answer over all its connections.
+type completion struct {
+	text   strings.Builder
+	last   string
+	result Result
+	ended  bool
+	at     snipeford.Instant
+}
+
+func (c *Client) complete(ctx context.Context, q arrival.Request, start snipeford.Instant) Result {
+	text := q.Text()
+	body, err := json.Marshal(completionBody{c.Model, text, q.MaxOutput, true})
+	if err != nil {
+		return Result{Cut: true, Cause: err.Error()}
+	}
+	s := &completion{}
+	for try := 0; try <= c.Resumes && !s.ended; try++ {
+		if try > 0 {
+			s.result.Resumed++
+			c.Timer.Sleep(ctx, 100*time.Millisecond)
+		}
+		c.stream(ctx, q, body, s, start)
+	}
+	r := s.result
+	r.Cut = !s.ended
+	want := answer.Of(text).Text(q.MaxOutput)
+	r.Whole = s.ended && r.Cause == "" && s.text.String() == want
+	r.Broken = s.ended && r.Cause == "" && s.text.String() != want
+	return r
+}
+
+func (c *Client) request(ctx context.Context, q arrival.Request, method, path string, body []byte) (*http.Request, error) {
+	node := c.Pick()
+	if node == "" {
+		return nil, errors.New("no node is ready")
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+node+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+c.KeyOf(q.Organisation))
+	return req, nil
+}
+
+func (c *Client) stream(ctx context.Context, q arrival.Request, body []byte, s *completion, start snipeford.Instant) {
+	req, err := c.request(ctx, q, http.MethodPost, "/v1/completions", body)
+	if err != nil {
+		return
+	}
+	if s.last != "" {
+		req.Header.Set("Last-Event-ID", s.last)
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	s.result.Status = resp.StatusCode
+	s.result.RequestID = resp.Header.Get("Snipeford-Request")
+	if resp.StatusCode != http.StatusOK {
+		s.ended = readRefusal(resp, &s.result)
+		return
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 1<<20)
+	failed := false
+	for lines.Scan() {
+		line := lines.Text()
+		switch {
+		case line == "event: error":
+			failed = true
+		case strings.HasPrefix(line, "id: "):
+			s.last = line[len("id: "):]
+		case line == "data: [DONE]":
+			s.ended = true
+			return
+		case strings.HasPrefix(line, "data: ") && failed:
+			s.ended = decodeRefusal([]byte(line[len("data: "):]), &s.result)
+			return
+		case strings.HasPrefix(line, "data: "):
+			s.take(line[len("data: "):], c.Timer.Now(), start)
+		}
+	}
+}
+
+func (s *completion) take(data string, now, start snipeford.Instant) {
+	var body struct {
+		Choices []struct {
+			Text string `json:"text"`
+		} `json:"choices"`
+	}
+	if err := json.Unmarshal([]byte(data), &body); err != nil || len(body.Choices) == 0 || body.Choices[0].Text == "" {
+		return
+	}
+	s.text.WriteString(body.Choices[0].Text)
+	if s.result.FirstToken == 0 {
+		s.result.FirstToken = now.Sub(start)
+	} else {
+		s.result.Gaps = append(s.result.Gaps, now.Sub(s.at))
+	}
+	s.at = now
+}
+
+func readRefusal(resp *http.Response, r *Result) bool {
+	raw, err := io.ReadAll(resp.Body)
+	return err == nil && decodeRefusal(raw, r)
+}
+
+func decodeRefusal(raw []byte, r *Result) bool {
+	var body struct {
+		Error struct {
+			Cause   string            `json:"cause"`
+			Outcome snipeford.Outcome `json:"outcome"`
+		} `json:"error"`
+	}
+	if err := json.Unmarshal(raw, &body); err != nil || body.Error.Cause == "" {
+		return false
+	}
+	r.Cause, r.Outcome = body.Error.Cause, body.Error.Outcome
+	return true
+}
+
+// call runs a request to a plain service.
+func (c *Client) call(ctx context.Context, q arrival.Request, method, path, key string) Result {
+	var body []byte
+	if key != "" {
+		body = []byte(fmt.Sprintf(`{"Item":"mineral oil","Order":%d}`, q.Number))
+	}
+	r := Result{Cut: true, Key: key}
+	req, err := c.request(ctx, q, method, "/services/"+string(c.Service)+path, body)
+	if err != nil {
+		r.Cause = err.Error()
+		return r
+	}
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+		req.GetBody = nil
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return r
+	}
+	defer resp.Body.Close()
+	r.Cut = false
+	r.Status = resp.StatusCode
+	r.Outcome = snipeford.Outcome(resp.Header.Get(snipeford.OutcomeHeader))
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		r.Cut = true
+		return r
+	}
+	if resp.StatusCode != http.StatusOK {
+		decodeRefusal(raw, &r)
+		return r
+	}
+	r.Whole = key == "" || strings.Contains(string(raw), strconv.Quote(key))
+	r.Broken = !r.Whole
+	return r
+}
--- /dev/null
+++ b/internal/operate/administration/server.go
@@ -0,0 +1,260 @@
+// Package administration serves the operators' API. Every change is a new
+// version of the configuration, recorded with who made it and when.
+package administration
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+	"github.com/twitchtv/twirp"
+	"golang.org/x/sync/errgroup"
+
+	"snipeford"
+	"snipeford/internal/control/loop"
+	"snipeford/internal/control/reducer"
+	"snipeford/internal/control/timer"
+	"snipeford/internal/fleet/message"
+	"snipeford/internal/fleet/peer"
+	"snipeford/internal/operate/record"
+	"snipeford/internal/request/dispatch"
+	"snipeford/internal/rule/file"
+	"snipeford/internal/rule/version"
+)
+
+// KeyHeader carries the operators' key.
+const KeyHeader = "Snipeford-Operator-Key"
+
+const (
+	// waitFor bounds how long a change is followed until it is in force.
+	waitFor = 10 * time.Second
+	// askEvery is the time between two questions whether it is.
+	askEvery = 100 * time.Millisecond
+)
+
+// Keyed adds a key to each call.
+type Keyed struct {
+	Client      *http.Client
+	Header, Key string
+}
+
+// Do sends a call with the key.
+func (k Keyed) Do(r *http.Request) (*http.Response, error) {
+	r.Header.Set(k.Header, k.Key)
+	return k.Client.Do(r)
+}
+
+// Server serves the API at one node.
+type Server struct {
+	Node    snipeford.Member
+	Loop    *loop.Loop
+	Store   *version.Store
+	Peers   *peer.Client
+	Timer   *timer.Service
+	Log     *log.Logger
+	Records *record.Book
+	// Remote returns the API of a peer.
+	Remote func(snipeford.Member) message.Administration
+	// Drained starts this node's graceful stop.
+	Drained func()
+}
+
+// Apply commits a rules file as the next version.
+func (s *Server) Apply(ctx context.Context, r *message.ApplyRequest) (*message.ChangeReply, error) {
+	rules, err := file.Parse("rules", []byte(r.GetRulesToml()))
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("rules", err.Error())
+	}
+	if r.GetBy() == "" {
+		return nil, twirp.RequiredArgumentError("by")
+	}
+	old, err := s.newest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	if base := snipeford.Version(r.GetBaseVersion()); base > 0 && base != old.Version {
+		return nil, conflictError(&version.ConflictError{Base: base, Found: old})
+	}
+	reply := &message.ChangeReply{Version: uint64(old.Version), Changes: file.Difference(old.Rules, rules)}
+	if r.GetDryRun() || len(reply.Changes) == 0 {
+		return reply, nil
+	}
+	next := old
+	next.Rules = rules
+	next.What = fmt.Sprintf("apply of %d changed rules", len(reply.Changes))
+	return s.commit(ctx, old, next, r.GetBy(), r.GetWait(), reply)
+}
+
+// SetOut takes a failure domain or an upstream out, or back in.
+func (s *Server) SetOut(ctx context.Context, r *message.OutRequest) (*message.ChangeReply, error) {
+	if (r.GetDomain() == "") == (r.GetUpstream() == "") {
+		return nil, twirp.InvalidArgumentError("domain", "name either a failure domain or an upstream")
+	}
+	if r.GetBy() == "" {
+		return nil, twirp.RequiredArgumentError("by")
+	}
+	old, err := s.newest(ctx)
+	if err != nil {
+		return nil, err
+	}
+	next := old
+	next.OutDomains = toggle(old.OutDomains, snipeford.FailureDomain(r.GetDomain()), r.GetOut())
+	next.OutUpstreams = toggle(old.OutUpstreams, snipeford.UpstreamID(r.GetUpstream()), r.GetOut())
+	reply := &message.ChangeReply{Version: uint64(old.Version)}
+	if slices.Equal(next.OutDomains, old.OutDomains) && slices.Equal(next.OutUpstreams, old.OutUpstreams) {
+		return reply, nil
+	}
+	verb := "back: "
+	if r.GetOut() {
+		verb = "out: "
+	}
+	next.What = verb + r.GetDomain() + r.GetUpstream()
+	reply.Changes = []string{next.What}
+	return s.commit(ctx, old, next, r.GetBy(), r.GetWait(), reply)
+}
+
+// toggle returns the list with or without the name; an empty name changes nothing.
+func toggle[T ~string](list []T, name T, in bool) []T {
+	if name == "" {
+		return list
+	}
+	out := slices.DeleteFunc(slices.Clone(list), func(other T) bool { return other == name })
+	if in {
+		out = append(out, name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// newest returns the newest configuration that the table has.
+func (s *Server) newest(ctx context.Context) (snipeford.Configuration, error) {
+	n, err := s.Store.Number(ctx)
+	if err == nil && n == 0 {
+		return snipeford.Configuration{}, nil
+	}
+	var c snipeford.Configuration
+	if err == nil {
+		c, err = s.Store.Content(ctx, n)
+	}
+	if err != nil {
+		return c, twirp.NewError(twirp.Unavailable, "table does not answer, nothing was changed: "+err.Error())
+	}
+	return c, nil
+}
+
+func (s *Server) commit(ctx context.Context, old, next snipeford.Configuration, by string, wait bool, reply *message.ChangeReply) (*message.ChangeReply, error) {
+	next.By, next.When = by, s.Timer.Wall()
+	change := string(dispatch.NewAttempt())
+	err := s.Store.Commit(ctx, old.Version, next, change)
+	var conflict *version.ConflictError
+	switch {
+	case errors.As(err, &conflict):
+		return nil, conflictError(conflict)
+	case errors.Is(err, version.ErrUndecided):
+		return nil, twirp.NewError(twirp.Unknown, "not known whether the change was accepted; look with show").WithMeta("change", change)
+	case err != nil:
+		return nil, twirp.NewError(twirp.Unavailable, err.Error())
+	}
+	next.Version, next.Change = old.Version+1, change
+	s.Log.Info("change accepted", "Version", next.Version, "By", by, "What", next.What)
+	s.Loop.Send(reducer.ConfigurationRead{Configuration: next})
+	reply.Version = uint64(next.Version)
+	reply.Nodes = s.push(ctx, next.Version, wait)
+	return reply, nil
+}
+
+func conflictError(c *version.ConflictError) error {
+	return twirp.NewError(twirp.Aborted, c.Error())
+}
+
+// push tells all peers of a version and returns where it is in force.
+func (s *Server) push(ctx context.Context, v snipeford.Version, wait bool) []*message.NodeVersion {
+	var peers []snipeford.Member
+	s.Loop.Ask(func(state *reducer.State) { peers = state.Peers() })
+	out := make([]*message.NodeVersion, len(peers)+1)
+	out[0] = &message.NodeVersion{Node: string(s.Node.Node), Version: uint64(v)}
+	var group errgroup.Group
+	for i, p := range peers {
+		group.Go(func() error {
+			out[i+1] = s.follow(ctx, p, v, wait)
+			return nil
+		})
+	}
+	// The goroutines return no errors: each node's stands in its line.
+	_ = group.Wait()
+	return out
+}
+
+func (s *Server) follow(ctx context.Context, p snipeford.Member, v snipeford.Version, wait bool) *message.NodeVersion {
+	until := s.Timer.Now().Add(waitFor)
+	for {
+		got, err := s.Peers.Notice(ctx, p, s.Node, v)
+		out := &message.NodeVersion{Node: string(p.Node), Version: uint64(got)}
+		if err != nil {
+			out.Error = err.Error()
+		}
+		if !wait || got >= v || s.Timer.Now() >= until || !s.Timer.Sleep(ctx, askEvery) {
+			return out
+		}
+	}
+}
+
+// Show returns the configuration in force at this node.
+func (s *Server) Show(context.Context, *message.ShowRequest) (*message.ShowReply, error) {
+	var c snipeford.Configuration
+	s.Loop.Ask(func(state *reducer.State) { c = state.Configuration() })
+	raw, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode configuration: %w", trace.Wrap(err))
+	}
+	return &message.ShowReply{Configuration: raw}, nil
+}
+
+// Status returns what this node knows.
+func (s *Server) Status(context.Context, *message.StatusRequest) (*message.StatusReply, error) {
+	var status reducer.Status
+	s.Loop.Ask(func(state *reducer.State) { status = state.Status(s.Timer.Now()) })
+	raw, err := json.Marshal(status)
+	if err != nil {
+		return nil, fmt.Errorf("encode status: %w", trace.Wrap(err))
+	}
+	return &message.StatusReply{Status: raw}, nil
+}
+
+// Drain starts this node's graceful stop.
+func (s *Server) Drain(_ context.Context, r *message.DrainRequest) (*message.DrainReply, error) {
+	s.Log.Info("drain ordered", "By", r.GetBy())
+	s.Drained()
+	return &message.DrainReply{}, nil
+}
+
+// Explain returns what was decided about a request, here and at all peers.
+func (s *Server) Explain(ctx context.Context, r *message.ExplainRequest) (*message.ExplainReply, error) {
+	reply := &message.ExplainReply{}
+	for _, line := range s.Records.Lines(snipeford.RequestID(r.GetRequest())) {
+		reply.Lines = append(reply.Lines, line+" ["+string(s.Node.Node)+"]")
+	}
+	if r.GetLocal() {
+		return reply, nil
+	}
+	var peers []snipeford.Member
+	s.Loop.Ask(func(state *reducer.State) { peers = state.Peers() })
+	for _, p := range peers {
+		ctx, cancel := context.WithTimeout(ctx, time.Second)
+		remote, err := s.Remote(p).Explain(ctx, &message.ExplainRequest{Request: r.GetRequest(), Local: true})
+		cancel()
+		if err != nil {
+			reply.Lines = append(reply.Lines, "?            not known, node does not answer ["+string(p.Node)+"]")
+			continue
+		}
+		reply.Lines = append(reply.Lines, remote.GetLines()...)
+	}
+	slices.Sort(reply.Lines)
+	return reply, nil
+}
--- /dev/null
+++ b/internal/operate/node/executor.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+
+	"snipeford"
+	"snipeford/internal/control/mailbox"
+	"snipeford/internal/control/reducer"
+	"snipeford/internal/fleet/member"
+	"snipeford/internal/platform/vm"
+	"snipeford/internal/rule/version"
+	"snipeford/internal/upstream/engine"
+)
+
+// executor carries out effects. What takes time runs in goroutines of its own;
+// of each periodic duty at most one runs at a time.
+type executor struct {
+	node    *Node
+	keeper  *member.Keeper
+	store   *version.Store
+	vms     *vm.Client
+	engines *engine.Client
+	entries mailbox.Boxes
+	homes   mailbox.Boxes
+
+	renewing, reading, listing, checking, fetching atomic.Bool
+	polling                                        sync.Map
+	events                                         sync.Map
+}
+
+// Do carries out one effect without blocking.
+func (x *executor) Do(ctx context.Context, e reducer.Effect) {
+	switch e := e.(type) {
+	case reducer.Refuse:
+		x.entries.Deliver(e.Call, e)
+	case reducer.Forward:
+		x.entries.Deliver(e.Call, e)
+	case reducer.Dispatch:
+		x.homes.Deliver(e.Call, e)
+	case reducer.Bounce:
+		x.homes.Deliver(e.Call, e)
+	case reducer.Cancel:
+		x.homes.Deliver(e.Call, e)
+	case reducer.Complete:
+		x.homes.Deliver(e.Call, e)
+	default:
+		x.doFleet(ctx, e)
+	}
+}
+
+func (x *executor) doFleet(ctx context.Context, e reducer.Effect) {
+	switch e := e.(type) {
+	case reducer.RenewLease:
+		once(&x.renewing, func() { x.renew(ctx, e) })
+	case reducer.ReadRows:
+		once(&x.reading, func() { x.readRows(ctx) })
+	case reducer.ClaimHome:
+		go x.claim(ctx, e)
+	case reducer.ReleaseHome:
+		go x.release(ctx, e)
+	case reducer.SendHeartbeat:
+		go x.heartbeat(ctx, e)
+	case reducer.ReadUpstreams:
+		once(&x.listing, func() { x.readUpstreams(ctx) })
+	case reducer.ReadConfiguration:
+		once(&x.checking, func() { x.readConfiguration(ctx, e) })
+	case reducer.FetchConfiguration:
+		once(&x.fetching, func() { x.fetchConfiguration(ctx, e) })
+	case reducer.Adopted:
+		x.adopted(e)
+	default:
+		x.doUpstream(ctx, e)
+	}
+}
+
+func (x *executor) doUpstream(ctx context.Context, e reducer.Effect) {
+	switch e := e.(type) {
+	case reducer.PollLoad:
+		running, _ := x.polling.LoadOrStore(e.Upstream.ID, &atomic.Bool{})
+		once(running.(*atomic.Bool), func() { x.pollLoad(ctx, e.Upstream) })
+	case reducer.SweepReservations:
+		go x.sweep(ctx, e)
+	}
+}
+
+// once runs f in a goroutine unless the last run has not ended.
+func once(running *atomic.Bool, f func()) {
+	if !running.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer running.Store(false)
+		f()
+	}()
+}
+
+func (x *executor) renew(ctx context.Context, e reducer.RenewLease) {
+	sent := x.node.timer.Now()
+	err := x.keeper.Renew(ctx, e.Member)
+	if err != nil {
+		x.node.log.Warn("lease not renewed", "Error", err)
+	}
+	x.node.loop.Send(reducer.LeaseAnswered{Sent: sent, Err: err})
+}
+
+func (x *executor) readRows(ctx context.Context) {
+	leases, homes, err := x.keeper.Read(ctx)
+	x.node.loop.Send(reducer.RowsRead{Leases: leases, Homes: homes, Err: err})
+}
+
+func (x *executor) claim(ctx context.Context, e reducer.ClaimHome) {
+	row, won, err := x.keeper.SetHome(ctx, e.Row)
+	if err != nil {
+		x.node.log.Warn("home not claimed", "Group", e.Row.Group.String(), "Error", err)
+		return
+	}
+	if won {
+		x.node.log.Info("home claimed", "Group", row.Group.String(), "Fence", row.Fence)
+	}
+	x.node.loop.Send(reducer.HomeClaimed{Row: row, Won: won})
+}
+
+func (x *executor) release(ctx context.Context, e reducer.ReleaseHome) {
+	if _, _, err := x.keeper.SetHome(ctx, e.Row); err != nil {
+		x.node.log.Warn("home not released", "Group", e.Row.Group.String(), "Error", err)
+	}
+	x.node.loop.Send(reducer.HomeReleased{Group: e.Row.Group})
+}
+
+func (x *executor) heartbeat(ctx context.Context, e reducer.SendHeartbeat) {
+	if err := x.node.peers.Heartbeat(ctx, e.Peer, e.Heartbeat); err != nil {
+		x.node.log.Debug("heartbeat not heard", "Peer", e.Peer.Node, "Error", err)
+	}
+}
+
+func (x *executor) readUpstreams(ctx context.Context) {
+	list, changed, err := x.vms.Read(ctx)
+	if err != nil {
+		x.node.log.Warn("VM list not read", "Error", err)
+		return
+	}
+	if changed {
+		x.node.loop.Send(reducer.UpstreamsListed{Upstreams: list})
+	}
+}
+
+func (x *executor) readConfiguration(ctx context.Context, e reducer.ReadConfiguration) {
+	newest, err := x.store.Number(ctx)
+	if err != nil || newest <= e.Have {
+		return
+	}
+	c, err := x.store.Content(ctx, newest)
+	if err != nil {
+		x.node.log.Warn("configuration not read", "Version", newest, "Error", err)
+		return
+	}
+	x.node.loop.Send(reducer.ConfigurationRead{Configuration: c})
+}
+
+func (x *executor) fetchConfiguration(ctx context.Context, e reducer.FetchConfiguration) {
+	c, err := x.node.peers.Configuration(ctx, e.Peer)
+	if err != nil {
+		x.node.log.Warn("configuration not fetched", "Peer", e.Peer.Node, "Error", err)
+		return
+	}
+	x.node.loop.Send(reducer.ConfigurationRead{Configuration: c})
+}
+
+// adopted puts a configuration into force for the traffic goroutines. It runs
+// in the control goroutine, so that configurations come in their order.
+func (x *executor) adopted(e reducer.Adopted) {
+	x.node.entry.Book.Set(e.Configuration)
+	x.node.log.Info("configuration in force", "Version", e.Configuration.Version, "By", e.Configuration.By, "What", e.Configuration.What)
+}
+
+func (x *executor) pollLoad(ctx context.Context, u snipeford.Upstream) {
+	load, err := x.engines.Load(ctx, u)
+	if err != nil {
+		return
+	}
+	x.node.loop.Send(reducer.LoadReported{Load: load})
+	if u.Kind == snipeford.KindEngine {
+		x.readEvents(ctx, u, load.Incarnation)
+	}
+}
+
+// cursor is how far an engine's cache events were read.
+type cursor struct {
+	incarnation snipeford.Incarnation
+	after       uint64
+}
+
+// readEvents reads an engine's cache events, which come late and with gaps.
+func (x *executor) readEvents(ctx context.Context, u snipeford.Upstream, inc snipeford.Incarnation) {
+	var at cursor
+	if old, ok := x.events.Load(u.ID); ok {
+		at = old.(cursor)
+	}
+	if at.incarnation != inc {
+		at = cursor{incarnation: inc}
+	}
+	list, err := x.engines.Events(ctx, u, at.after)
+	if err != nil {
+		return
+	}
+	for _, e := range list {
+		at.after = max(at.after, e.Sequence)
+		x.node.loop.Send(reducer.CacheEvicted{Upstream: u.ID, Block: e.Block})
+	}
+	x.events.Store(u.ID, at)
+}
+
+func (x *executor) sweep(ctx context.Context, e reducer.SweepReservations) {
+	if e.Upstream.Kind != snipeford.KindEngine {
+		return
+	}
+	if err := x.engines.Sweep(ctx, e.Upstream, e.Fence); err != nil {
+		x.node.log.Debug("reservations not swept", "Upstream", e.Upstream.ID, "Error", err)
+	}
+}
--- /dev/null
+++ b/internal/operate/settings/settings.go
@@ -0,0 +1,174 @@
+// Package settings reads a node's settings file: TOML, strict, all faults in
+// one run.
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"snipeford"
+	"snipeford/internal/policy/queue"
+	"snipeford/internal/policy/route"
+	"snipeford/internal/rule/document"
+)
+
+// Settings is what one process needs to know before it starts.
+type Settings struct {
+	Node            snipeford.NodeID
+	FailureDomain   snipeford.FailureDomain
+	CallerAddress   string
+	PeerAddress     string
+	OperatorAddress string
+	Table           string
+	VMList          string
+	PeerKey         string
+	OperatorKey     string
+	TraceFile       string
+	LogLevel        string
+	Queue           string
+	Route           string
+	// LeaveDelay is how long a leaving node still takes requests while the
+	// balancer learns of it.
+	LeaveDelay time.Duration
+}
+
+const (
+	defaultLeaveDelay = 3 * time.Second
+	leastKey          = 16
+)
+
+var fields = []document.Field[Settings]{
+	{Name: "Node", Allowed: "a name of its own for each node", Required: true, Set: func(s *Settings, v document.Value) error {
+		w, err := v.Word()
+		s.Node = snipeford.NodeID(w)
+		return err
+	}},
+	{Name: "FailureDomain", Allowed: "the failure domain that the VM stands in", Required: true, Set: func(s *Settings, v document.Value) error {
+		w, err := v.Word()
+		s.FailureDomain = snipeford.FailureDomain(w)
+		return err
+	}},
+	address("CallerAddress", func(s *Settings) *string { return &s.CallerAddress }),
+	address("PeerAddress", func(s *Settings) *string { return &s.PeerAddress }),
+	address("OperatorAddress", func(s *Settings) *string { return &s.OperatorAddress }),
+	service("Table", func(s *Settings) *string { return &s.Table }),
+	service("VMList", func(s *Settings) *string { return &s.VMList }),
+	key("PeerKey", func(s *Settings) *string { return &s.PeerKey }),
+	key("OperatorKey", func(s *Settings) *string { return &s.OperatorKey }),
+	{Name: "TraceFile", Allowed: "a path that traces are written to", Set: func(s *Settings, v document.Value) (err error) {
+		s.TraceFile, err = v.Word()
+		return err
+	}},
+	{Name: "LogLevel", Allowed: "debug, info, warn or error", Set: func(s *Settings, v document.Value) (err error) {
+		s.LogLevel, err = v.OneOf("debug", "info", "warn", "error")
+		return err
+	}},
+	{Name: "Queue", Allowed: "one of " + queue.Names(), Set: func(s *Settings, v document.Value) (err error) {
+		s.Queue, err = v.Word()
+		if _, bad := queue.New(s.Queue); bad != nil {
+			return bad
+		}
+		return err
+	}},
+	{Name: "Route", Allowed: "one of " + route.Names(), Set: func(s *Settings, v document.Value) (err error) {
+		s.Route, err = v.Word()
+		if _, bad := route.New(s.Route); bad != nil {
+			return bad
+		}
+		return err
+	}},
+	{Name: "LeaveDelay", Allowed: `a duration above 0 such as "3s"`, Set: func(s *Settings, v document.Value) (err error) {
+		s.LeaveDelay, err = v.Duration()
+		return err
+	}},
+}
+
+func address(name string, at func(*Settings) *string) document.Field[Settings] {
+	return document.Field[Settings]{Name: name, Allowed: `an IP number and port such as "10.0.0.7:8080"`, Required: true, Set: func(s *Settings, v document.Value) error {
+		w, err := v.Word()
+		*at(s) = w
+		host, _, bad := net.SplitHostPort(w)
+		if bad != nil || net.ParseIP(host) == nil {
+			return document.ErrValue
+		}
+		return err
+	}}
+}
+
+func service(name string, at func(*Settings) *string) document.Field[Settings] {
+	return document.Field[Settings]{Name: name, Allowed: `a URL such as "http://10.0.0.9:7000"`, Required: true, Set: func(s *Settings, v document.Value) error {
+		w, err := v.Word()
+		*at(s) = w
+		if len(w) < len("http://x") || w[:len("http://")] != "http://" {
+			return document.ErrValue
+		}
+		return err
+	}}
+}
+
+func key(name string, at func(*Settings) *string) document.Field[Settings] {
+	return document.Field[Settings]{Name: name, Allowed: fmt.Sprintf("a secret of at least %d bytes", leastKey), Required: true, Set: func(s *Settings, v document.Value) error {
+		w, err := v.Word()
+		*at(s) = w
+		if len(w) < leastKey {
+			return document.ErrValue
+		}
+		return err
+	}}
+}
+
+// Parse reads settings and fills what is not said.
+func Parse(name string, data []byte) (Settings, error) {
+	entries, faults := document.Parse(name, data)
+	if faults == nil {
+		for i, e := range entries {
+			if e.Table != "" {
+				entries[i].Key = e.Table + "." + e.Key
+			}
+		}
+		var s Settings
+		s, faults = document.Read(name, 1, entries, fields)
+		s.fill()
+		return s, hide(faults).Or()
+	}
+	return Settings{}, faults.Or()
+}
+
+// hide takes keys out of the faults, as no key is ever printed.
+func hide(faults document.Faults) document.Faults {
+	for i, f := range faults {
+		if (f.Key == "PeerKey" || f.Key == "OperatorKey") && f.Read != "nothing" {
+			faults[i].Read = "a value that is not shown"
+		}
+	}
+	return faults
+}
+
+func (s *Settings) fill() {
+	if s.LogLevel == "" {
+		s.LogLevel = log.InfoLevel.String()
+	}
+	if s.Queue == "" {
+		s.Queue = "Fair"
+	}
+	if s.Route == "" {
+		s.Route = "MovingSplit"
+	}
+	if s.LeaveDelay == 0 {
+		s.LeaveDelay = defaultLeaveDelay
+	}
+}
+
+// Load reads a settings file.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, fmt.Errorf("read settings: %w", trace.ConvertSystemError(err))
+	}
+	return Parse(path, data)
+}
--- /dev/null
+++ b/internal/operate/span/span.go
@@ -0,0 +1,58 @@
+// Package span writes OpenTelemetry traces: one span for each hop of a request
+// (entry, home.queue, dispatch, upstream).
+package span
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/gravitational/trace"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	api "go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
+)
+
+// Provider hands out the tracer and writes what is left when it is closed.
+type Provider struct {
+	provider *sdk.TracerProvider
+	file     io.Closer
+}
+
+// Open returns a provider that writes JSON to the file, or one that writes
+// nothing where the path is empty.
+func Open(path string) (*Provider, error) {
+	if path == "" {
+		return &Provider{}, nil
+	}
+	file, err := os.OpenFile(path, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, fmt.Errorf("open trace file: %w", trace.ConvertSystemError(err))
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(file))
+	if err != nil {
+		return nil, fmt.Errorf("start trace exporter: %w", trace.Wrap(err))
+	}
+	return &Provider{sdk.NewTracerProvider(sdk.WithBatcher(exporter)), file}, nil
+}
+
+// Tracer returns the tracer of the serving layer.
+func (p *Provider) Tracer() api.Tracer {
+	if p.provider == nil {
+		return noop.NewTracerProvider().Tracer("snipeford")
+	}
+	return p.provider.Tracer("snipeford")
+}
+
+// Close writes what is left.
+func (p *Provider) Close(ctx context.Context) error {
+	if p.provider == nil {
+		return nil
+	}
+	if err := p.provider.Shutdown(ctx); err != nil {
+		return fmt.Errorf("write last spans: %w", trace.Wrap(err))
+	}
+	return p.file.Close()
+}
--- /dev/null
+++ b/internal/platform/table/client.go
@@ -0,0 +1,123 @@
+// Package table is the client of the platform's transactional table service:
+// JSON over HTTP, GET /row?key=, GET /rows?prefix=, POST /write.
+package table
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/gravitational/trace"
+	"github.com/rcrowley/go-metrics"
+
+	"snipeford"
+)
+
+// timeout bounds one call of the table.
+const timeout = 1 * time.Second
+
+// longestBody bounds what is read of an answer, in bytes.
+const longestBody = 16 << 20
+
+// Write is the body of POST /write.
+type Write struct {
+	Writes []WriteRow
+}
+
+// Written is the answer to POST /write.
+type Written struct{ Version uint64 }
+
+// WriteRow is one conditional write. A nil Value deletes the row.
+type WriteRow struct {
+	Key        string
+	Value      []byte
+	IfVersion  uint64
+	TTLSeconds float64
+}
+
+// Client calls the table service at Address, such as "http://10.0.0.1:7000".
+type Client struct {
+	Address string
+	HTTP    *http.Client
+	Reads   metrics.Counter
+	Writes  metrics.Counter
+}
+
+// New returns a client that counts its calls in the registry.
+func New(address string, client *http.Client, registry metrics.Registry) *Client {
+	return &Client{
+		Address: address,
+		HTTP:    client,
+		Reads:   metrics.GetOrRegisterCounter("Table.Reads", registry),
+		Writes:  metrics.GetOrRegisterCounter("Table.Writes", registry),
+	}
+}
+
+// Get returns a row, or a row of version zero where there is none.
+func (c *Client) Get(ctx context.Context, key string) (snipeford.Row, error) {
+	var row snipeford.Row
+	err := c.read(ctx, "/row?key="+url.QueryEscape(key), &row)
+	return row, err
+}
+
+// Scan returns the rows whose keys start with the prefix.
+func (c *Client) Scan(ctx context.Context, prefix string) ([]snipeford.Row, error) {
+	var rows []snipeford.Row
+	err := c.read(ctx, "/rows?prefix="+url.QueryEscape(prefix), &rows)
+	return rows, err
+}
+
+// Write applies all writes or none.
+func (c *Client) Write(ctx context.Context, writes ...snipeford.RowWrite) (uint64, error) {
+	c.Writes.Inc(1)
+	var body Write
+	for _, w := range writes {
+		body.Writes = append(body.Writes, WriteRow{w.Key, w.Value, w.IfVersion, w.TTL.Seconds()})
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return 0, fmt.Errorf("encode table write: %w", trace.Wrap(err))
+	}
+	var written Written
+	err = c.call(ctx, http.MethodPost, "/write", raw, &written)
+	return written.Version, err
+}
+
+func (c *Client) read(ctx context.Context, path string, into any) error {
+	c.Reads.Inc(1)
+	return c.call(ctx, http.MethodGet, path, nil, into)
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, method, c.Address+path, bytes.NewReader(body))
+	if err != nil {
+		return fmt.Errorf("build table call: %w", trace.Wrap(err))
+	}
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return fmt.Errorf("call table: %w: %w", snipeford.ErrUnavailable, err)
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, longestBody))
+	if err != nil {
+		return fmt.Errorf("read table answer: %w: %w", snipeford.ErrUnavailable, err)
+	}
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusConflict:
+		return fmt.Errorf("write table rows: %w", snipeford.ErrConflict)
+	default:
+		return fmt.Errorf("table answered status %d: %w", resp.StatusCode, snipeford.ErrUnavailable)
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return fmt.Errorf("decode table answer: %w: %w", snipeford.ErrUnavailable, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/platform/vm/client.go
@@ -0,0 +1,53 @@
+// Package vm is the client of the platform's lagging list of live and leaving
+// VMs: GET /vms, JSON, with an entity tag so that an unchanged list costs no
+// body.
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"snipeford"
+)
+
+const timeout = 2 * time.Second
+
+// Client reads the list at Address. Only one goroutine may call Read at a time.
+type Client struct {
+	Address string
+	HTTP    *http.Client
+	tag     string
+}
+
+// Read returns the list, or false where it has not changed since the last Read.
+func (c *Client) Read(ctx context.Context) ([]snipeford.Upstream, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.Address+"/vms", nil)
+	if err != nil {
+		return nil, false, fmt.Errorf("build list call: %w", trace.Wrap(err))
+	}
+	req.Header.Set("If-None-Match", c.tag)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, false, fmt.Errorf("call VM list: %w", trace.Wrap(err))
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode == http.StatusNotModified {
+		return nil, false, nil
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, false, fmt.Errorf("read VM list: %w", trace.ConnectionProblem(nil, "status %d", resp.StatusCode))
+	}
+	var list []snipeford.Upstream
+	if err := json.NewDecoder(resp.Body).Decode(&list); err != nil {
+		return nil, false, fmt.Errorf("decode VM list: %w", trace.Wrap(err))
+	}
+	c.tag = resp.Header.Get("ETag")
+	return list, true, nil
+}
--- /dev/null
+++ b/internal/policy/limit/lender.go
@@ -0,0 +1,108 @@
+package limit
+
+import (
+	"time"
+
+	"snipeford"
+)
+
+// Constants of lending.
+const (
+	// floorPart is the part of an even share that a node keeps without asking.
+	floorPart = 0.5
+	// settle is how long a new lender listens before it lends more.
+	settle = 3 * time.Second
+	// smoothing is the weight of the newest report of use.
+	smoothing = 0.3
+)
+
+// Floor returns the share that a node may use before anything was lent to it.
+func Floor(nodes int) float64 { return floorPart / float64(max(nodes, 1)) }
+
+// CutOff returns the share of a node that has lost touch with the lender.
+func CutOff(last float64, nodes int) float64 { return min(last, 1/float64(max(nodes, 1))) }
+
+// borrower is what a lender knows of one node. InForce is the highest share
+// that the node may be using.
+type borrower struct {
+	wanted  float64
+	inForce float64
+}
+
+// Lender divides one organisation's limits between the nodes by what they
+// want. The sum of the shares in force never exceeds one: a share grows only
+// by what other nodes have confirmed to have given back.
+type Lender struct {
+	since     snipeford.Instant
+	borrowers map[snipeford.NodeID]*borrower
+}
+
+// NewLender returns a lender that listens first.
+func NewLender(now snipeford.Instant) *Lender {
+	return &Lender{since: now, borrowers: map[snipeford.NodeID]*borrower{}}
+}
+
+// Report takes in what a node wanted, in tokens since its last report, and the
+// share that it uses.
+func (l *Lender) Report(n snipeford.NodeID, wanted snipeford.Tokens, inForce float64) {
+	b, ok := l.borrowers[n]
+	if !ok {
+		b = &borrower{}
+		l.borrowers[n] = b
+	}
+	b.wanted += smoothing * (float64(wanted) - b.wanted)
+	b.inForce = inForce
+}
+
+// Retain forgets the nodes that are no longer members.
+func (l *Lender) Retain(live func(snipeford.NodeID) bool) {
+	for n := range l.borrowers {
+		if !live(n) {
+			delete(l.borrowers, n)
+		}
+	}
+}
+
+// Grant returns the share that the node may use from now on.
+func (l *Lender) Grant(now snipeford.Instant, n snipeford.NodeID, nodes int) float64 {
+	b, ok := l.borrowers[n]
+	if !ok {
+		return Floor(nodes)
+	}
+	if now.Sub(l.since) < settle {
+		return b.inForce
+	}
+	target := l.target(b, nodes)
+	if target > b.inForce {
+		target = min(target, b.inForce+max(0, l.free(nodes)))
+	}
+	b.inForce = max(b.inForce, target)
+	return target
+}
+
+// free returns what no node uses. Nodes that were not heard keep their floor.
+func (l *Lender) free(nodes int) float64 {
+	sum := float64(max(0, nodes-len(l.borrowers))) * Floor(nodes)
+	for _, b := range l.borrowers {
+		sum += b.inForce
+	}
+	return 1 - sum
+}
+
+func (l *Lender) target(b *borrower, nodes int) float64 {
+	var all float64
+	for _, other := range l.borrowers {
+		all += other.wanted
+	}
+	floor := Floor(nodes)
+	if all == 0 {
+		return 1 / float64(max(nodes, 1))
+	}
+	return floor + (1-floor*float64(nodes))*b.wanted/all
+}
+
+// Borrows reports whether the node has reported any use.
+func (l *Lender) Borrows(n snipeford.NodeID) bool {
+	_, ok := l.borrowers[n]
+	return ok
+}
--- /dev/null
+++ b/internal/policy/queue/fifo.go
@@ -0,0 +1,28 @@
+package queue
+
+import "snipeford"
+
+var fifoPolicy = Policy{
+	Name:  "Fifo",
+	Usage: "first come, first served; a request that has no room holds up all behind it",
+	New:   func() snipeford.Queue { return &fifo{} },
+}
+
+type fifo struct{ entries }
+
+func (q *fifo) Push(w *snipeford.Waiting) { q.insert(len(q.list), w) }
+
+func (q *fifo) Next(now snipeford.Instant, place func(*snipeford.Waiting) bool) *snipeford.Waiting {
+	for i, w := range q.list {
+		if w.NotBefore > now {
+			continue
+		}
+		if place(w) {
+			return q.take(i)
+		}
+		return nil
+	}
+	return nil
+}
+
+func (q *fifo) Ahead(*snipeford.Waiting) snipeford.Tokens { return q.work }
--- /dev/null
+++ b/internal/policy/queue/policy.go
@@ -0,0 +1,114 @@
+// Package queue holds the policies that order a group's waiting requests, one
+// a file. A policy is a name, a usage line and a constructor.
+package queue
+
+import (
+	"fmt"
+	"strings"
+
+	"snipeford"
+)
+
+// Policy is one member of the family.
+type Policy struct {
+	Name  string
+	Usage string
+	New   func() snipeford.Queue
+}
+
+// Table lists the policies.
+var Table = []Policy{fifoPolicy, shortestPolicy, fairPolicy}
+
+// Names returns the policies' names, for messages.
+func Names() string {
+	var out []string
+	for _, p := range Table {
+		out = append(out, p.Name)
+	}
+	return strings.Join(out, ", ")
+}
+
+// New returns a queue of the named policy.
+func New(name string) (snipeford.Queue, error) {
+	for _, p := range Table {
+		if p.Name == name {
+			return p.New(), nil
+		}
+	}
+	return nil, fmt.Errorf("queue policy %q is not one of the table", name)
+}
+
+// entries is the part that all policies share: a set of waiting requests in
+// some order.
+type entries struct {
+	list []*snipeford.Waiting
+	work snipeford.Tokens
+}
+
+// Len returns the number of waiting requests.
+func (e *entries) Len() int { return len(e.list) }
+
+// Work returns the waiting service in tokens.
+func (e *entries) Work() snipeford.Tokens { return e.work }
+
+func (e *entries) insert(i int, w *snipeford.Waiting) {
+	e.list = append(e.list, nil)
+	copy(e.list[i+1:], e.list[i:])
+	e.list[i] = w
+	e.work += w.Work()
+}
+
+func (e *entries) take(i int) *snipeford.Waiting {
+	w := e.list[i]
+	e.list = append(e.list[:i], e.list[i+1:]...)
+	e.work -= w.Work()
+	return w
+}
+
+// Remove takes a request out, or returns nil where it is not queued.
+func (e *entries) Remove(id snipeford.CallID) *snipeford.Waiting {
+	for i, w := range e.list {
+		if w.Call == id {
+			return e.take(i)
+		}
+	}
+	return nil
+}
+
+// Expired takes out the requests whose GiveUp has passed.
+func (e *entries) Expired(now snipeford.Instant) []*snipeford.Waiting {
+	var out []*snipeford.Waiting
+	for i := 0; i < len(e.list); {
+		if e.list[i].GiveUp > now {
+			i++
+			continue
+		}
+		out = append(out, e.take(i))
+	}
+	return out
+}
+
+// ByOrganisation counts the waiting requests of each organisation.
+func (e *entries) ByOrganisation() map[snipeford.Organisation]int {
+	out := map[snipeford.Organisation]int{}
+	for _, w := range e.list {
+		out[w.Organisation]++
+	}
+	return out
+}
+
+// firstOfBands offers the first ready request of each length band, in list
+// order, and takes out the one that place accepts.
+func (e *entries) firstOfBands(now snipeford.Instant, place func(*snipeford.Waiting) bool) *snipeford.Waiting {
+	var offered [snipeford.BandCount]bool
+	for i, w := range e.list {
+		if w.NotBefore > now || offered[w.Band()] {
+			continue
+		}
+		offered[w.Band()] = true
+		if place(w) {
+			return e.take(i)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/policy/queue/shortest.go
@@ -0,0 +1,33 @@
+package queue
+
+import (
+	"sort"
+
+	"snipeford"
+)
+
+var shortestPolicy = Policy{
+	Name:  "Shortest",
+	Usage: "shortest prompt first, whoever sent it",
+	New:   func() snipeford.Queue { return &shortest{} },
+}
+
+type shortest struct{ entries }
+
+func (q *shortest) rank(w *snipeford.Waiting) int {
+	return sort.Search(len(q.list), func(i int) bool { return q.list[i].Prompt > w.Prompt })
+}
+
+func (q *shortest) Push(w *snipeford.Waiting) { q.insert(q.rank(w), w) }
+
+func (q *shortest) Next(now snipeford.Instant, place func(*snipeford.Waiting) bool) *snipeford.Waiting {
+	return q.firstOfBands(now, place)
+}
+
+func (q *shortest) Ahead(w *snipeford.Waiting) snipeford.Tokens {
+	var sum snipeford.Tokens
+	for _, other := range q.list[:q.rank(w)] {
+		sum += other.Work()
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/policy/retry/budget.go
@@ -0,0 +1,59 @@
+// Package retry bounds retries to a share of the offered load and spreads them
+// in time.
+package retry
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"snipeford"
+)
+
+// Share is the part of the offered requests that may be retries.
+const Share = 0.1
+
+const (
+	// burst is how many retries may come at once after a quiet time.
+	burst = 3
+	// attempts is the highest number of dispatches of one request.
+	attempts = 4
+	// firstDelay and longestDelay bound the exponential delay of a retry.
+	firstDelay   = 20 * time.Millisecond
+	longestDelay = 2 * time.Second
+)
+
+// Budget is a bucket that each offered request fills by Share. Its zero value
+// works and starts with a full burst.
+type Budget struct {
+	spent   float64
+	Offered int
+	Retried int
+}
+
+// Offer counts one request that callers sent.
+func (b *Budget) Offer() {
+	b.Offered++
+	b.spent = max(0, b.spent-Share)
+}
+
+// Take allows one retry, or not.
+func (b *Budget) Take(attemptsMade int) bool {
+	if attemptsMade >= attempts || b.spent+1 > burst {
+		return false
+	}
+	b.spent++
+	b.Retried++
+	return true
+}
+
+// Delay returns the jittered wait before an attempt, from a seed of the event.
+func Delay(attemptsMade int, seed uint64) time.Duration {
+	top := min(firstDelay<<min(attemptsMade, 10), longestDelay)
+	r := rand.New(rand.NewPCG(seed, uint64(attemptsMade)))
+	return time.Duration(r.Int64N(int64(top))) + time.Millisecond
+}
+
+// At returns the instant of the next attempt.
+func At(now snipeford.Instant, attemptsMade int, seed uint64) snipeford.Instant {
+	return now.Add(Delay(attemptsMade, seed))
+}
--- /dev/null
+++ b/internal/upstream/engine/segments.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"context"
+	"fmt"
+
+	"snipeford"
+	"snipeford/internal/request/stream"
+)
+
+// reservationSeconds is how long an engine keeps a reservation that nobody
+// renews or releases, so that a dead home loses it no memory for good.
+const reservationSeconds = 120
+
+// Segment is one engine's part of a prompt that is larger than its memory.
+type Segment struct {
+	Upstream snipeford.Upstream
+	Prompt   string
+	Memory   snipeford.Tokens
+}
+
+// GenerateSegments serves a prompt by several engines: it reserves memory at
+// all of them, in the given order, or at none; computes the segments one after
+// the other, each importing what the one before exported; lets the last engine
+// answer; and releases all whatever happened.
+func (c *Client) GenerateSegments(ctx context.Context, segments []Segment, g Generate, pass func(stream.Chunk) error) Result {
+	defer c.releaseAll(ctx, segments, g)
+	for _, s := range segments {
+		r := Reserve{g.Attempt, s.Memory, reservationSeconds, g.Fence}
+		if err := c.Reserve(ctx, s.Upstream, r); err != nil {
+			err = fmt.Errorf("reserve at %s: %w", s.Upstream.ID, err)
+			return Result{End: snipeford.EndRejected, Next: g.Offset, Err: err}
+		}
+	}
+	last := len(segments) - 1
+	for _, s := range segments[:last] {
+		p := Prefill{g.Attempt, s.Prompt, g.Handle, g.Priority, g.Fence}
+		handle, err := c.Prefill(ctx, s.Upstream, p)
+		if err != nil {
+			err = fmt.Errorf("prefill at %s: %w", s.Upstream.ID, err)
+			return Result{End: snipeford.EndBroken, Next: g.Offset, Err: err}
+		}
+		g.Handle = handle
+	}
+	g.Prompt = segments[last].Prompt
+	return c.Generate(ctx, segments[last].Upstream, g, pass)
+}
+
+// releaseAll frees the reservations even where the call was cancelled.
+func (c *Client) releaseAll(ctx context.Context, segments []Segment, g Generate) {
+	ctx = context.WithoutCancel(ctx)
+	for _, s := range segments {
+		// An engine that can't be reached frees the reservation by its time limit.
+		_ = c.Release(ctx, s.Upstream, Release{g.Attempt, g.Fence})
+	}
+}
+
+// Sweep frees what homes with a lower fence left reserved at an engine.
+func (c *Client) Sweep(ctx context.Context, u snipeford.Upstream, fence snipeford.Fence) error {
+	list, err := c.Reservations(ctx, u)
+	if err != nil {
+		return fmt.Errorf("list reservations: %w", err)
+	}
+	for _, r := range list {
+		if r.Fence >= fence {
+			continue
+		}
+		if err := c.Release(ctx, u, Release{r.Attempt, fence}); err != nil {
+			return fmt.Errorf("release reservation: %w", err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node.go
@@ -0,0 +1,64 @@
+package snipeford
+
+// Member is one node as its lease row describes it.
+type Member struct {
+	Node        NodeID
+	Incarnation Incarnation
+	Domain      FailureDomain
+	// PeerAddress is where the node answers its peers.
+	PeerAddress string
+	Leaving     bool
+}
+
+// LeaseRow is a member with the table version of its row.
+type LeaseRow struct {
+	Member
+	RowVersion uint64
+}
+
+// HomeRow says which node is a group's home. An empty Node means released.
+type HomeRow struct {
+	Group       Group
+	Node        NodeID
+	Incarnation Incarnation
+	Fence       Fence
+	RowVersion  uint64
+}
+
+// GroupSummary is what a home tells all entries of its group.
+type GroupSummary struct {
+	Group  Group
+	Fence  Fence
+	Usable int
+	// Memory is the sum over usable replicas, and Largest the largest one's.
+	Memory  Tokens
+	Largest Tokens
+	Rate    TokensPerSecond
+	// Backlog is the work that waits or is being prefilled.
+	Backlog Tokens
+	// ShortCost is the least wait of a short prompt, in tokens.
+	ShortCost Tokens
+}
+
+// ShareWant is one node's use of an organisation's limits.
+type ShareWant struct {
+	Organisation Organisation
+	Wanted       Tokens
+	InForce      float64
+}
+
+// ShareGrant is the part of an organisation's limits that a node may use.
+type ShareGrant struct {
+	Organisation Organisation
+	Share        float64
+}
+
+// Heartbeat is what a node tells one peer every second.
+type Heartbeat struct {
+	Member
+	Configuration Version
+	TableUp       bool
+	Groups        []GroupSummary
+	Wants         []ShareWant
+	Grants        []ShareGrant
+}
--- /dev/null
+++ b/upstream.go
@@ -0,0 +1,99 @@
+package snipeford
+
+import "time"
+
+// UpstreamKind tells model engines from plain services.
+type UpstreamKind string
+
+// Kinds of upstream.
+const (
+	KindEngine  UpstreamKind = "Engine"
+	KindService UpstreamKind = "Service"
+)
+
+// Upstream is one replica as the platform's VM list names it.
+type Upstream struct {
+	ID            UpstreamID
+	Kind          UpstreamKind
+	Model         Model
+	Service       ServiceName
+	Domain        FailureDomain
+	Address       string
+	Memory        Tokens
+	HonoursFences bool
+	Leaving       bool
+}
+
+// Group returns the group that an engine belongs to.
+func (u Upstream) Group() Group { return Group{Model: u.Model, Domain: u.Domain} }
+
+// Load is an upstream's own report. It lags behind what it describes.
+type Load struct {
+	Upstream    UpstreamID
+	Incarnation Incarnation
+	Running     int
+	Waiting     int
+	MemoryUsed  Tokens
+	MemorySize  Tokens
+	Prefill     Tokens
+	Cold        bool
+}
+
+// Outcomes of one attempt at an upstream.
+type AttemptEnd string
+
+const (
+	// EndDone means that the whole answer arrived.
+	EndDone AttemptEnd = "Done"
+	// EndRejected means that the upstream refused before it ran anything.
+	EndRejected AttemptEnd = "Rejected"
+	// EndUnsent means that no byte left for the upstream.
+	EndUnsent AttemptEnd = "Unsent"
+	// EndBroken means that the stream stopped, stalled or carried a gap.
+	EndBroken AttemptEnd = "Broken"
+	// EndCancelled means that the caller or the node gave the attempt up.
+	EndCancelled AttemptEnd = "Cancelled"
+)
+
+// LengthBand sorts prompts for reports and for the split of replicas.
+type LengthBand int
+
+// Bands of prompt length.
+const (
+	BandShort LengthBand = iota
+	BandMedium
+	BandLong
+	BandHuge
+	BandCount
+)
+
+// Upper ends of the length bands, in tokens.
+const (
+	ShortPrompt  Tokens = 4_096
+	MediumPrompt Tokens = 32_768
+	LongPrompt   Tokens = 100_000
+)
+
+// BandOf returns the band of a prompt length.
+func BandOf(n Tokens) LengthBand {
+	switch {
+	case n <= ShortPrompt:
+		return BandShort
+	case n <= MediumPrompt:
+		return BandMedium
+	case n <= LongPrompt:
+		return BandLong
+	}
+	return BandHuge
+}
+
+// String returns the band as reports print it.
+func (b LengthBand) String() string {
+	return [...]string{"1-4k", "4-32k", "32-100k", ">100k"}[b]
+}
+
+// Timeouts shared by callers of engines.
+const (
+	// StallTimeout bounds the silence of an upstream between two signs of life.
+	StallTimeout = 5 * time.Second
+)
