--- a/internal/control/reducer/entry.go
+++ b/internal/control/reducer/entry.go
@@ -13,9 +13,10 @@
 
 // Constants of the entry role.
 const (
-	// spillTokens is the extra cost, in tokens, up to which a call stays with
-	// its first choice of failure domain.
-	spillTokens = 2_000
+	// spill and shortSpill are the longer waits, in tokens of prompt work, up
+	// to which a call stays with its first choice of failure domain.
+	spill      snipeford.Tokens = 2_000
+	shortSpill snipeford.Tokens = 200
 	// bounceLimit is how often one call may be sent to a home.
 	bounceLimit = 8
 	// defaultOutputShare is the assumed length of an answer, as a part of its
@@ -156,12 +157,19 @@
 			first, firstCost, top = g, cost, score
 		}
 	}
-	if first != nil && firstCost <= lowest+spillTokens {
+	if first != nil && firstCost <= lowest+spillOf(k) {
 		return first
 	}
 	return best
 }
 
+func spillOf(k *call) snipeford.Tokens {
+	if snipeford.BandOf(k.Prompt) == snipeford.BandShort {
+		return shortSpill
+	}
+	return spill
+}
+
 func (s *State) preference(k *call, g *group) uint64 {
 	if len(k.Prefix) > 0 {
 		return xxhash.Sum64String(g.name.String()) ^ (k.Prefix[0] * 0x9e3779b97f4a7c15)
--- a/internal/control/reducer/event.go
+++ b/internal/control/reducer/event.go
@@ -43,6 +43,13 @@
 // FirstToken says that the first token of an attempt arrived.
 type FirstToken struct{ Call snipeford.CallID }
 
+// PartStarted says that a later part of a prompt that spans several engines
+// began; the parts before it are computed.
+type PartStarted struct {
+	Call snipeford.CallID
+	Part int
+}
+
 // AttemptEnded says how an attempt at an upstream ended.
 type AttemptEnded struct {
 	Call snipeford.CallID
@@ -101,6 +108,7 @@
 func (Offered) event()           {}
 func (Withdrawn) event()         {}
 func (FirstToken) event()        {}
+func (PartStarted) event()       {}
 func (AttemptEnded) event()      {}
 func (LoadReported) event()      {}
 func (CacheEvicted) event()      {}
--- a/internal/control/reducer/gang.go
+++ b/internal/control/reducer/gang.go
@@ -6,18 +6,27 @@
 	"snipeford"
 )
 
-// pickSeveral reserves, all or nothing, the replicas of a prompt that is
-// larger than one engine's memory. One such prompt at a time claims replicas
-// of a group; they drain until all have room. Only this home reserves in the
-// group, one claim at a time, so that two such prompts can't deadlock.
-func (d *dispatcher) pickSeveral(w *snipeford.Waiting) []*replica {
+// partTokens is the memory that a prompt larger than one engine's takes of each
+// engine, where the group has enough engines. Small parts leave each engine
+// room for other work while the segments are prefilled one after the other.
+const partTokens snipeford.Tokens = 150_000
+
+// shortReserve is the memory that a claim leaves to short prompts.
+const shortReserve snipeford.Tokens = 20_000
+
+// pickReserved places a prompt that needs much memory. It claims the memory of
+// the replicas that it will need, all or nothing, and waits until the work
+// before it has left; smaller work goes on beside the claim. One prompt at a
+// time claims in a group, and only the group's home reserves there, so that
+// two such prompts can't deadlock.
+func (d *dispatcher) pickReserved(w *snipeford.Waiting) []*replica {
 	if d.claimedBy != "" && d.claimedBy != w.Call {
 		return nil
 	}
 	if d.claimedBy == "" && !d.claim(w) {
 		return nil
 	}
-	need := w.Memory() / snipeford.Tokens(len(d.claimed))
+	need := d.claimed[0].Reserved
 	for _, r := range d.claimed {
 		if !r.Usable {
 			d.unclaim(w.Call)
@@ -35,49 +44,56 @@
 // claim chooses the emptiest replicas that together hold the prompt, ordered
 // by name as they are reserved.
 func (d *dispatcher) claim(w *snipeford.Waiting) bool {
-	var usable []*replica
-	for _, r := range d.replicas {
-		if r.Usable && r.window.State() != snipeford.StateCold {
-			usable = append(usable, r)
-		}
+	usable, kept := d.emptiest()
+	n := 1
+	if w.Memory() > d.largest()-shortReserve {
+		n = min(len(usable), int((w.Memory()+partTokens-1)/partTokens))
+		n = max(n, int(w.Memory()/(d.largest()-shortReserve))+1)
 	}
-	sort.SliceStable(usable, func(i, j int) bool {
-		return usable[i].Committed < usable[j].Committed
-	})
-	for n := 2; n <= len(usable); n++ {
-		if !eachHolds(usable[:n], w.Memory()/snipeford.Tokens(n)+1) {
-			continue
-		}
-		d.claimed = append([]*replica(nil), usable[:n]...)
-		sort.Slice(d.claimed, func(i, j int) bool { return d.claimed[i].ID < d.claimed[j].ID })
-		d.claimedBy = w.Call
-		for _, r := range d.claimed {
-			r.claimed = true
-		}
-		return true
+	if n > len(usable) {
+		usable = append(usable, kept...)
 	}
-	return false
-}
-
-// shortReserve is the memory that a claim leaves to short prompts.
-const shortReserve snipeford.Tokens = 20_000
-
-func eachHolds(replicas []*replica, need snipeford.Tokens) bool {
-	for _, r := range replicas {
+	if n > len(usable) {
+		return false
+	}
+	need := w.Memory()/snipeford.Tokens(n) + 1
+	for _, r := range usable[:n] {
 		if need > r.Memory-shortReserve {
 			return false
 		}
 	}
+	d.claimed = append([]*replica(nil), usable[:n]...)
+	sort.Slice(d.claimed, func(i, j int) bool { return d.claimed[i].ID < d.claimed[j].ID })
+	d.claimedBy = w.Call
+	for _, r := range d.claimed {
+		r.Reserved = need
+	}
 	return true
 }
 
+// emptiest returns the replicas that may be claimed, the emptiest first, and
+// apart from them those that are kept for short prompts.
+func (d *dispatcher) emptiest() (usable, kept []*replica) {
+	for _, r := range d.replicas {
+		switch {
+		case !r.Usable || r.window.State() == snipeford.StateCold:
+		case r.Short:
+			kept = append(kept, r)
+		default:
+			usable = append(usable, r)
+		}
+	}
+	sort.SliceStable(usable, func(i, j int) bool { return usable[i].Committed < usable[j].Committed })
+	return usable, kept
+}
+
 // unclaim ends a call's claim.
 func (d *dispatcher) unclaim(id snipeford.CallID) {
 	if d.claimedBy != id {
 		return
 	}
 	for _, r := range d.claimed {
-		r.claimed = false
+		r.Reserved = 0
 	}
 	d.claimed, d.claimedBy = nil, ""
 }
--- a/internal/control/reducer/group.go
+++ b/internal/control/reducer/group.go
@@ -21,6 +21,8 @@
 	rateFrom snipeford.Tokens = 8_192
 	// loadSmoothing is the weight of the newest second in a band's load.
 	loadSmoothing = 0.2
+	// paceSmoothing is the weight of the newest second in the group's pace.
+	paceSmoothing = 0.1
 	arrangeEvery  = 1 * time.Second
 	// firstTokenGrace is what an idle engine takes beyond the prefill itself.
 	firstTokenGrace = 50 * time.Millisecond
@@ -53,6 +55,10 @@
 	arriving [snipeford.BandCount]snipeford.Tokens
 	load     [snipeford.BandCount]snipeford.TokensPerSecond
 	arranged snipeford.Instant
+	// sent is the work of each band dispatched since arranged, and pace the
+	// learned rate at which a band is served while some of it waits.
+	sent [snipeford.BandCount]snipeford.Tokens
+	pace [snipeford.BandCount]snipeford.TokensPerSecond
 	// claimed holds the replicas that a prompt larger than one engine waits for.
 	claimed   []*replica
 	claimedBy snipeford.CallID
@@ -72,13 +78,14 @@
 	longs    int
 	longWork float64
 	worked   snipeford.Instant
-	claimed  bool
 }
 
 // running is one dispatched call.
 type running struct {
-	w       *snipeford.Waiting
-	parts   []*replica
+	w     *snipeford.Waiting
+	parts []*replica
+	// part is the index of the part that is being prefilled.
+	part    int
 	started snipeford.Instant
 	first   bool
 	alone   bool
@@ -146,32 +153,27 @@
 		out.Largest = max(out.Largest, r.Memory)
 		out.Rate += r.Rate
 		out.Backlog += r.Prefill
-		if cost := r.shortCost(); lowest < 0 || cost < lowest {
-			lowest = cost
+		if wait := d.shortWait(r); lowest < 0 || wait < lowest {
+			lowest = wait
 		}
 	}
 	out.ShortCost = max(lowest, 0)
 	return out
 }
 
-func (r *replica) shortCost() snipeford.Tokens {
-	cost := r.ShortPrefill
+// fullWindow is what a short prompt is told to wait, in tokens, where the
+// replica's window is full.
+const fullWindow snipeford.Tokens = 50_000
+
+// shortWait returns the wait of a short prompt at a replica, in tokens.
+func (d *dispatcher) shortWait(r *replica) snipeford.Tokens {
+	wait := d.router.ShortWait(&r.Replica)
 	if r.Running >= r.Window {
-		cost += firstTokenWait
-	}
-	if r.longs > 0 {
-		cost += sharedStep
+		wait += fullWindow
 	}
-	return cost
+	return wait
 }
 
-// Costs of a short prompt in tokens: for sharing steps with a long one, and
-// for a full window.
-const (
-	sharedStep     snipeford.Tokens = 1_000
-	firstTokenWait snipeford.Tokens = 50_000
-)
-
 // refresh brings the estimates that the policies see up to date.
 func (r *replica) refresh(now snipeford.Instant) {
 	elapsed := now.Sub(r.worked).Seconds()
@@ -227,21 +229,23 @@
 	}
 }
 
-// late returns by how much the call's first token would come after it gives
-// up, or zero.
+// late returns by how much the call's wait would exceed what it may wait, or
+// zero. The wait is that of the band's backlog at the pace at which the band
+// was served lately, with a margin for what is not known yet.
 func (g *group) late(now snipeford.Instant, w *snipeford.Waiting) time.Duration {
-	summary := g.summarize(now)
-	if summary.Rate <= 0 {
+	d := g.dispatcher
+	pace := d.pace[w.Band()]
+	ahead := d.queue.Ahead(w)
+	if ahead == 0 || pace <= 0 {
 		return 0
 	}
-	ahead := g.dispatcher.queue.Ahead(w)
-	if w.Band() != snipeford.BandShort {
-		ahead += summary.Backlog - g.dispatcher.queue.Work()
-	}
-	wait := time.Duration(float64(ahead) / float64(summary.Rate) * float64(time.Second))
-	return max(0, wait-w.GiveUp.Sub(now))
+	wait := time.Duration(float64(ahead+w.Work()) / float64(pace) * float64(time.Second))
+	return max(0, waitMargin*wait-w.GiveUp.Sub(now))
 }
 
+// waitMargin is by how much a wait is taken to be longer than estimated.
+const waitMargin = 2
+
 // dispatch sends what the policies place now.
 func (s *State) dispatch(now snipeford.Instant, g *group) {
 	d := g.dispatcher
@@ -261,6 +265,7 @@
 		if w == nil {
 			return
 		}
+		d.sent[w.Band()] += w.Work()
 		s.send(now, g, w, parts)
 	}
 }
@@ -277,18 +282,29 @@
 		d.load[band] += loadSmoothing * (rate - d.load[band])
 		d.arriving[band] = 0
 	}
+	for band, tokens := range d.sent {
+		rate := snipeford.TokensPerSecond(float64(tokens) / elapsed.Seconds())
+		if rate > d.pace[band] || d.queue.Backlog(snipeford.LengthBand(band)) > 0 {
+			d.pace[band] += paceSmoothing * (rate - d.pace[band])
+		}
+		d.sent[band] = 0
+	}
 	d.router.Arrange(d.views, d.load)
 }
 
 // pick returns the replicas for a call, or nil where it has to wait.
 func (d *dispatcher) pick(w *snipeford.Waiting) []*replica {
-	if d.claimedBy == w.Call || w.Memory() > d.largest() {
-		return d.pickSeveral(w)
+	if w.Memory() > 0 && w.Memory() > d.largest()-shortReserve {
+		return d.pickReserved(w)
 	}
-	chosen := d.router.Pick(w, d.open(w), d.affinity.Cached(w.Prefix))
+	chosen := d.router.Pick(w, d.views, d.affinity.Cached(w.Prefix))
 	if chosen == nil {
+		if w.Band() == snipeford.BandHuge {
+			return d.pickReserved(w)
+		}
 		return nil
 	}
+	d.unclaim(w.Call)
 	for _, r := range d.replicas {
 		if &r.Replica == chosen {
 			return []*replica{r}
@@ -297,21 +313,6 @@
 	return nil
 }
 
-// open returns the replicas that a call may go to: those that a larger prompt
-// has claimed take only short ones.
-func (d *dispatcher) open(w *snipeford.Waiting) []*snipeford.Replica {
-	if len(d.claimed) == 0 || w.Band() == snipeford.BandShort {
-		return d.views
-	}
-	var out []*snipeford.Replica
-	for i, r := range d.replicas {
-		if !r.claimed {
-			out = append(out, d.views[i])
-		}
-	}
-	return out
-}
-
 func (d *dispatcher) largest() snipeford.Tokens {
 	var n snipeford.Tokens
 	for _, r := range d.replicas {
@@ -329,7 +330,7 @@
 	run := &running{w: w, parts: parts, started: now, alone: true}
 	effect := Dispatch{
 		Call:     w.Call,
-		Priority: d.router.Priority(w),
+		Priority: priority(d.router, w, len(parts)),
 		Fence:    d.fence,
 		Until:    s.until(now),
 		Offset:   w.Offset,
@@ -340,7 +341,7 @@
 	prompt := w.Prompt / snipeford.Tokens(len(parts))
 	for i, r := range parts {
 		run.alone = run.alone && r.longs == 0 && len(parts) == 1
-		r.take(w, prompt, memory)
+		r.take(memory)
 		from := prompt * snipeford.Tokens(i)
 		to := from + prompt
 		if i == len(parts)-1 {
@@ -348,6 +349,7 @@
 		}
 		effect.Parts = append(effect.Parts, Part{r.upstream, from, to})
 	}
+	parts[0].prefilling(w, prompt)
 	if len(parts) == 1 {
 		d.affinity.Remember(w.Prefix, parts[0].ID)
 	}
@@ -355,17 +357,34 @@
 	s.emit(effect)
 }
 
+// priority returns the engine priority of a call: one that holds the memory of
+// several engines goes before all others but the short ones.
+func priority(router snipeford.Router, w *snipeford.Waiting, parts int) int {
+	p := router.Priority(w)
+	if parts > 1 {
+		return min(p, severalPriority)
+	}
+	return p
+}
+
+// severalPriority is the engine priority of a prompt that spans several engines.
+const severalPriority = 2
+
 // take counts a dispatched call at a replica.
-func (r *replica) take(w *snipeford.Waiting, prompt, memory snipeford.Tokens) {
+func (r *replica) take(memory snipeford.Tokens) {
 	r.own++
 	r.Committed += memory
+	r.Running = r.own + r.foreign
+}
+
+// prefilling counts a call's prompt work as begun.
+func (r *replica) prefilling(w *snipeford.Waiting, prompt snipeford.Tokens) {
 	if w.Band() == snipeford.BandShort {
 		r.ShortPrefill += prompt
 	} else {
 		r.longs++
 		r.longWork += float64(prompt)
 	}
-	r.Running = r.own + r.foreign
 	r.Prefill += prompt
 }
 
@@ -378,6 +397,22 @@
 	r.longs--
 }
 
+// partPrompt returns the prompt work of one part.
+func (run *running) partPrompt() snipeford.Tokens {
+	return run.w.Prompt / snipeford.Tokens(len(run.parts))
+}
+
+// partStarted moves a call's prompt work to its next part.
+func (s *State) partStarted(e PartStarted) {
+	_, run := s.find(e.Call)
+	if run == nil || run.first || e.Part <= run.part || e.Part >= len(run.parts) {
+		return
+	}
+	run.parts[run.part].prefilled(run.w, run.partPrompt())
+	run.part = e.Part
+	run.parts[run.part].prefilling(run.w, run.partPrompt())
+}
+
 // find returns the group that dispatches a call, and its running attempt.
 func (s *State) find(id snipeford.CallID) (*group, *running) {
 	g := s.homed[id]
@@ -405,7 +440,7 @@
 		return
 	}
 	run.first = true
-	run.markPrefilled()
+	run.parts[run.part].prefilled(run.w, run.partPrompt())
 	last := run.parts[len(run.parts)-1]
 	took := now.Sub(run.started)
 	if run.alone && run.w.Prompt >= rateFrom {
@@ -417,17 +452,10 @@
 	s.dispatch(now, g)
 }
 
-func (run *running) markPrefilled() {
-	prompt := run.w.Prompt / snipeford.Tokens(len(run.parts))
-	for _, r := range run.parts {
-		r.prefilled(run.w, prompt)
-	}
-}
-
 // release takes a call off its replicas.
 func (g *group) release(run *running) {
 	if !run.first {
-		run.markPrefilled()
+		run.parts[run.part].prefilled(run.w, run.partPrompt())
 	}
 	memory := run.w.Memory() / snipeford.Tokens(len(run.parts))
 	for _, r := range run.parts {
--- /dev/null
+++ b/internal/control/reducer/reducer_test.go
@@ -0,0 +1,164 @@
+package reducer
+
+import (
+	"testing"
+	"time"
+
+	"snipeford"
+)
+
+// one second in the reducer's time.
+const second = snipeford.Instant(time.Second)
+
+var (
+	engineOne  = snipeford.Upstream{ID: "engine-1", Kind: snipeford.KindEngine, Model: "M", Domain: "A", Memory: 400_000}
+	engineTwo  = snipeford.Upstream{ID: "engine-2", Kind: snipeford.KindEngine, Model: "M", Domain: "A", Memory: 400_000}
+	serviceOne = snipeford.Upstream{ID: "service-1", Kind: snipeford.KindService, Service: "Orders", Domain: "A"}
+)
+
+func rules(version snipeford.Version, out ...snipeford.FailureDomain) snipeford.Configuration {
+	c := snipeford.Configuration{Version: version, OutDomains: out}
+	c.Rules.Organisations = map[snipeford.Organisation]snipeford.OrganisationRule{"light": {}, "heavy": {}}
+	return c
+}
+
+// alone returns the state of a node that is the home of all groups.
+func alone(t *testing.T, upstreams ...snipeford.Upstream) *State {
+	t.Helper()
+	s := New(Settings{Member: snipeford.Member{Node: "node-1", Domain: "A"}, Queue: "Fair", Route: "MovingSplit", Alone: true})
+	s.Apply(0, UpstreamsListed{upstreams})
+	s.Apply(0, ConfigurationRead{rules(1)})
+	return s
+}
+
+// warm reports the upstream as warm and lets its window grow to its full size.
+func warm(s *State, u snipeford.Upstream) {
+	s.Apply(0, LoadReported{snipeford.Load{Upstream: u.ID, Incarnation: "i", MemorySize: u.Memory}})
+	for _, g := range s.groups {
+		for _, r := range g.dispatcher.replicas {
+			if r.ID == u.ID {
+				for range 20 {
+					r.window.Succeeded(0, 0, 0)
+				}
+			}
+		}
+	}
+}
+
+func newCall(id snipeford.CallID, model snipeford.Model, prompt snipeford.Tokens) snipeford.Call {
+	return snipeford.Call{ID: id, Organisation: "light", Model: model, Prompt: prompt, MaxOutput: 100, Idempotent: true, GiveUp: 10 * second, Deadline: 60 * second}
+}
+
+// find returns the first effect of a type.
+func firstOf[E Effect](effects []Effect) (E, bool) {
+	for _, e := range effects {
+		if found, ok := e.(E); ok {
+			return found, true
+		}
+	}
+	var none E
+	return none, false
+}
+
+func mustFind[E Effect](t *testing.T, effects []Effect) E {
+	t.Helper()
+	found, ok := firstOf[E](effects)
+	if !ok {
+		t.Fatalf("got effects %#v, want one of type %T", effects, found)
+	}
+	return found
+}
+
+func wantNone[E Effect](t *testing.T, effects []Effect) {
+	t.Helper()
+	if found, ok := firstOf[E](effects); ok {
+		t.Fatalf("got %#v, want no effect of its type", found)
+	}
+}
+
+func TestDispatch(t *testing.T) {
+	t.Run("a plain service's call needs no memory", func(t *testing.T) {
+		s := alone(t, serviceOne)
+		c := newCall("c", snipeford.ServiceModel("Orders"), 0)
+		c.MaxOutput = 0
+		mustFind[Forward](t, s.Apply(second, Arrived{c}))
+		d := mustFind[Dispatch](t, s.Apply(second, Offered{c, groupOf(serviceOne)}))
+		if got, want := d.Parts[0].Upstream.ID, serviceOne.ID; got != want {
+			t.Errorf("got upstream %s, want %s", got, want)
+		}
+	})
+	t.Run("an upstream that has just started gets one call", func(t *testing.T) {
+		s := alone(t, engineOne)
+		s.Apply(0, LoadReported{snipeford.Load{Upstream: "engine-1", Incarnation: "i", MemorySize: 400_000, Cold: true}})
+		mustFind[Dispatch](t, s.Apply(second, Offered{newCall("c1", "M", 1_000), groupOf(engineOne)}))
+		wantNone[Dispatch](t, s.Apply(second, Offered{newCall("c2", "M", 1_000), groupOf(engineOne)}))
+	})
+	t.Run("a prompt larger than one engine spans several", func(t *testing.T) {
+		s := alone(t, engineOne, engineTwo)
+		warm(s, engineOne)
+		warm(s, engineTwo)
+		d := mustFind[Dispatch](t, s.Apply(second, Offered{newCall("c", "M", 600_000), groupOf(engineOne)}))
+		if got, want := len(d.Parts), 2; got != want {
+			t.Errorf("got %d parts, want %d", got, want)
+		}
+	})
+	t.Run("a prompt larger than the largest group is refused at once", func(t *testing.T) {
+		s := alone(t, engineOne, engineTwo)
+		r := mustFind[Refuse](t, s.Apply(second, Arrived{newCall("c", "M", 900_000)}))
+		if got, want := r.Refusal.Outcome, snipeford.NotRun; got != want {
+			t.Errorf("got outcome %s, want %s", got, want)
+		}
+	})
+}
+
+func TestFailedAttempt(t *testing.T) {
+	start := func(t *testing.T, idempotent bool) *State {
+		s := alone(t, engineOne)
+		warm(s, engineOne)
+		c := newCall("c", "M", 1_000)
+		c.Idempotent = idempotent
+		mustFind[Dispatch](t, s.Apply(second, Offered{c, groupOf(engineOne)}))
+		return s
+	}
+	t.Run("an idempotent call is dispatched again from its offset", func(t *testing.T) {
+		s := start(t, true)
+		s.Apply(second, AttemptEnded{"c", snipeford.EndBroken, 7})
+		d := mustFind[Dispatch](t, s.Apply(2*second, Ticked{}))
+		if got, want := d.Offset, snipeford.Tokens(7); got != want {
+			t.Errorf("got offset %d, want %d", got, want)
+		}
+	})
+	t.Run("another call is sent back as unknown", func(t *testing.T) {
+		s := start(t, false)
+		b := mustFind[Bounce](t, s.Apply(second, AttemptEnded{"c", snipeford.EndBroken, 0}))
+		if got, want := b.Outcome, snipeford.Unknown; got != want {
+			t.Errorf("got outcome %s, want %s", got, want)
+		}
+		wantNone[Dispatch](t, s.Apply(3*second, Ticked{}))
+	})
+	t.Run("a call of which no byte left may go again though it is not idempotent", func(t *testing.T) {
+		s := start(t, false)
+		s.Apply(second, AttemptEnded{"c", snipeford.EndUnsent, 0})
+		mustFind[Dispatch](t, s.Apply(2*second, Ticked{}))
+	})
+}
+
+func TestOutDomain(t *testing.T) {
+	s := alone(t, engineOne)
+	s.Apply(second, ConfigurationRead{rules(2, "A")})
+	t.Run("gets no new work", func(t *testing.T) {
+		effects := s.Apply(second, Offered{newCall("c", "M", 1_000), groupOf(engineOne)})
+		wantNone[Dispatch](t, effects)
+		b := mustFind[Bounce](t, effects)
+		if got, want := b.Outcome, snipeford.NotRun; got != want {
+			t.Errorf("got outcome %s, want %s", got, want)
+		}
+	})
+	t.Run("an older configuration does not bring it back", func(t *testing.T) {
+		wantNone[Adopted](t, s.Apply(second, ConfigurationRead{rules(1)}))
+	})
+	t.Run("a newer one does", func(t *testing.T) {
+		mustFind[Adopted](t, s.Apply(second, ConfigurationRead{rules(3)}))
+		mustFind[Dispatch](t, s.Apply(second, Offered{newCall("d", "M", 1_000), groupOf(engineOne)}))
+	})
+}
--- a/internal/control/reducer/state.go
+++ b/internal/control/reducer/state.go
@@ -122,6 +122,8 @@
 		s.withdrawn(e.Call)
 	case FirstToken:
 		s.firstToken(now, e.Call)
+	case PartStarted:
+		s.partStarted(e)
 	case AttemptEnded:
 		s.attemptEnded(now, e)
 	case LoadReported:
--- a/internal/emulate/batch/engine.go
+++ b/internal/emulate/batch/engine.go
@@ -120,6 +120,8 @@
 	epoch     int
 	// Excess counts requests that arrived above what the engine bore.
 	Excess int
+	// Hits counts prefix blocks that were found in the cache.
+	Hits int
 	// Collapses counts how often the engine fell over.
 	Collapses int
 }
@@ -318,6 +320,7 @@
 			return
 		}
 		hit := e.cache.match(j.Prefix)
+		e.Hits += hit
 		j.prefill = max(1, j.Prompt-snipeford.Tokens(hit)*BlockTokens)
 		j.admitted = true
 	}
--- a/internal/policy/queue/fair.go
+++ b/internal/policy/queue/fair.go
@@ -1,6 +1,7 @@
 package queue
 
 import (
+	"math"
 	"sort"
 
 	"snipeford"
@@ -8,13 +9,19 @@
 
 var fairPolicy = Policy{
 	Name:  "Fair",
-	Usage: "weighted fair between organisations in tokens of service, by length within one, with ageing",
+	Usage: "weighted fair between organisations in tokens of service, by length within a quantum, with ageing",
 	New:   func() snipeford.Queue { return &fair{shares: map[snipeford.Organisation]*share{}} },
 }
 
-// agedShare is the part of its allowed wait after which a request goes before
-// younger ones of its band whatever the fair order says.
-const agedShare = 0.6
+const (
+	// agedShare is the part of its allowed wait after which a long prompt goes
+	// before younger ones, oldest first.
+	agedShare = 0.7
+	// quantum is by how much service, in tokens over weight, an organisation may
+	// run ahead of the least served one that waits. Within it the shortest
+	// prompt goes first, whoever sent it.
+	quantum = 200_000
+)
 
 // share is one organisation's part of a fair queue. Served is its virtual
 // time: service taken over weight.
@@ -25,8 +32,7 @@
 	served float64
 }
 
-// fair keeps one list an organisation, ordered by prompt length. The
-// organisation that was served least, for its weight, goes first.
+// fair keeps one list an organisation, ordered by prompt length.
 type fair struct {
 	shares map[snipeford.Organisation]*share
 	order  []*share
@@ -97,40 +103,79 @@
 	return out
 }
 
-// Next offers, band by band from the shortest, the aged requests and then
-// those of the organisation that was served least.
+// Next offers the short and the medium prompts, which cost the others little,
+// then the aged ones, then the longer bands.
 func (q *fair) Next(now snipeford.Instant, place func(*snipeford.Waiting) bool) *snipeford.Waiting {
 	if q.length == 0 {
 		return nil
 	}
-	sort.SliceStable(q.order, func(i, j int) bool { return q.order[i].served < q.order[j].served })
-	for band := snipeford.BandShort; band < snipeford.BandCount; band++ {
-		s, i := q.pick(band, now)
-		if s == nil || !place(s.list[i]) {
-			continue
+	for band := snipeford.BandShort; band <= snipeford.BandMedium; band++ {
+		if w := q.offer(band, now, place); w != nil {
+			return w
 		}
+	}
+	if s, i := q.oldestAged(now); s != nil && place(s.list[i]) {
 		return q.serve(s, i)
 	}
+	for band := snipeford.BandLong; band < snipeford.BandCount; band++ {
+		if w := q.offer(band, now, place); w != nil {
+			return w
+		}
+	}
 	return nil
 }
 
-func (q *fair) pick(band snipeford.LengthBand, now snipeford.Instant) (*share, int) {
-	var first *share
-	var at int
+// offer offers the band's shortest prompt of the organisations that are within
+// a quantum of the least served one.
+func (q *fair) offer(band snipeford.LengthBand, now snipeford.Instant, place func(*snipeford.Waiting) bool) *snipeford.Waiting {
+	least := math.Inf(1)
+	for _, s := range q.order {
+		if s.served < least && s.first(band, now) >= 0 {
+			least = s.served
+		}
+	}
+	var found *share
+	at := -1
+	for _, s := range q.order {
+		if s.served > least+quantum {
+			continue
+		}
+		i := s.first(band, now)
+		if i >= 0 && (found == nil || s.list[i].Prompt < found.list[at].Prompt) {
+			found, at = s, i
+		}
+	}
+	if found == nil || !place(found.list[at]) {
+		return nil
+	}
+	return q.serve(found, at)
+}
+
+// first returns the index of the band's shortest ready request, or -1.
+func (s *share) first(band snipeford.LengthBand, now snipeford.Instant) int {
+	for i, w := range s.list {
+		if w.Band() == band && w.NotBefore <= now {
+			return i
+		}
+	}
+	return -1
+}
+
+// oldestAged returns the aged request that has waited longest.
+func (q *fair) oldestAged(now snipeford.Instant) (*share, int) {
+	var found *share
+	at := -1
 	for _, s := range q.order {
 		for i, w := range s.list {
-			if w.Band() != band || w.NotBefore > now {
+			if w.NotBefore > now || !aged(w, now) {
 				continue
 			}
-			if aged(w, now) {
-				return s, i
-			}
-			if first == nil {
-				first, at = s, i
+			if found == nil || w.Arrival < found.list[at].Arrival {
+				found, at = s, i
 			}
 		}
 	}
-	return first, at
+	return found, at
 }
 
 func aged(w *snipeford.Waiting, now snipeford.Instant) bool {
@@ -144,21 +189,26 @@
 	return w
 }
 
-// Ahead is the organisation's own backlog of requests up to the new one's
-// length, scaled by the weights of all organisations that wait.
+// Ahead is the organisation's own backlog of the band, scaled by the weights of
+// all organisations that wait there.
 func (q *fair) Ahead(w *snipeford.Waiting) snipeford.Tokens {
+	band := w.Band()
 	s := q.share(w)
-	own := float64(w.Work())
-	for _, other := range s.list {
-		if other.Prompt <= w.Prompt {
-			own += float64(other.Work())
-		}
-	}
-	var ahead float64
+	own := float64(w.Work()) + float64(s.inBand(band))
+	ahead := own - float64(w.Work())
 	for _, other := range q.order {
 		if other != s && other.Len() > 0 {
-			ahead += min(float64(other.entries.work), own*other.weight/s.weight)
+			ahead += min(float64(other.inBand(band)), own*other.weight/s.weight)
 		}
 	}
-	return snipeford.Tokens(ahead + own - float64(w.Work()))
+	return snipeford.Tokens(ahead)
+}
+
+// Backlog returns the waiting work of a band.
+func (q *fair) Backlog(band snipeford.LengthBand) snipeford.Tokens {
+	var sum snipeford.Tokens
+	for _, s := range q.order {
+		sum += s.inBand(band)
+	}
+	return sum
 }
--- a/internal/policy/queue/fifo.go
+++ b/internal/policy/queue/fifo.go
@@ -25,4 +25,4 @@
 	return nil
 }
 
-func (q *fifo) Ahead(*snipeford.Waiting) snipeford.Tokens { return q.work }
+func (q *fifo) Ahead(w *snipeford.Waiting) snipeford.Tokens { return q.inBand(w.Band()) }
--- a/internal/policy/queue/policy.go
+++ b/internal/policy/queue/policy.go
@@ -112,3 +112,17 @@
 	}
 	return nil
 }
+
+// inBand returns the waiting work of a band.
+func (e *entries) inBand(band snipeford.LengthBand) snipeford.Tokens {
+	var sum snipeford.Tokens
+	for _, w := range e.list {
+		if w.Band() == band {
+			sum += w.Work()
+		}
+	}
+	return sum
+}
+
+// Backlog returns the waiting work of a band.
+func (e *entries) Backlog(band snipeford.LengthBand) snipeford.Tokens { return e.inBand(band) }
--- /dev/null
+++ b/internal/policy/queue/queue_test.go
@@ -0,0 +1,114 @@
+package queue
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"snipeford"
+)
+
+const second snipeford.Instant = 1e9
+
+func waiting(id snipeford.CallID, o snipeford.Organisation, prompt snipeford.Tokens, arrival snipeford.Instant) *snipeford.Waiting {
+	return &snipeford.Waiting{Call: id, Organisation: o, Weight: 1, Prompt: prompt, Arrival: arrival, GiveUp: arrival + 30*second}
+}
+
+func accept(*snipeford.Waiting) bool { return true }
+
+func wantNext(t *testing.T, q snipeford.Queue, now snipeford.Instant, want snipeford.CallID) {
+	t.Helper()
+	got := q.Next(now, accept)
+	if got == nil || got.Call != want {
+		t.Errorf("got %+v, want %s", got, want)
+	}
+}
+
+func TestFifo(t *testing.T) {
+	t.Run("a request without room holds up those behind it", func(t *testing.T) {
+		q := fifoPolicy.New()
+		q.Push(waiting("long", "a", 90_000, 0))
+		q.Push(waiting("short", "a", 1_000, 0))
+		got := q.Next(0, func(w *snipeford.Waiting) bool { return w.Call == "short" })
+		if got != nil {
+			t.Errorf("got %s, want none", got.Call)
+		}
+	})
+}
+
+func TestShortest(t *testing.T) {
+	q := shortestPolicy.New()
+	q.Push(waiting("long", "a", 90_000, 0))
+	q.Push(waiting("short", "a", 1_000, 0))
+	wantNext(t, q, 0, "short")
+	wantNext(t, q, 0, "long")
+}
+
+func TestFair(t *testing.T) {
+	t.Run("a light organisation waits for at most a quantum of a heavy one's backlog", func(t *testing.T) {
+		q := fairPolicy.New()
+		for i := range 60 {
+			q.Push(waiting(snipeford.CallID(fmt.Sprint("heavy-", i)), "heavy", 30_000, 0))
+		}
+		for range 10 {
+			q.Next(0, accept)
+		}
+		q.Push(waiting("light", "light", 32_000, 0))
+		var before snipeford.Tokens
+		for w := q.Next(0, accept); w.Call != "light"; w = q.Next(0, accept) {
+			before += w.Work()
+		}
+		if got, want := before, snipeford.Tokens(quantum); got > want {
+			t.Errorf("got %d tokens served before, want at most %d", got, want)
+		}
+	})
+	t.Run("an aged long prompt goes before younger ones", func(t *testing.T) {
+		q := fairPolicy.New()
+		q.Push(waiting("old", "a", 95_000, 0))
+		q.Push(waiting("young", "a", 40_000, 25*second))
+		wantNext(t, q, 25*second, "old")
+	})
+	t.Run("a retry waits for its time", func(t *testing.T) {
+		q := fairPolicy.New()
+		w := waiting("retry", "a", 1_000, 0)
+		w.NotBefore = second
+		q.Push(w)
+		if got := q.Next(0, accept); got != nil {
+			t.Errorf("got %s, want none", got.Call)
+		}
+		wantNext(t, q, second, "retry")
+	})
+}
+
+// TestQueues checks for every policy that what goes in comes out once, and that
+// the counts follow.
+func TestQueues(t *testing.T) {
+	for _, p := range Table {
+		t.Run(p.Name, rapid.MakeCheck(func(t *rapid.T) {
+			q := p.New()
+			inside := map[snipeford.CallID]snipeford.Tokens{}
+			var work snipeford.Tokens
+			for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+				if rapid.Bool().Draw(t, "push") {
+					w := waiting(snipeford.CallID(fmt.Sprint(i)), snipeford.Organisation(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "organisation")), snipeford.Tokens(rapid.IntRange(1, 300_000).Draw(t, "prompt")), 0)
+					q.Push(w)
+					inside[w.Call] = w.Work()
+					work += w.Work()
+				} else if w := q.Next(0, accept); w != nil {
+					if _, ok := inside[w.Call]; !ok {
+						t.Fatalf("got %s, which is not inside", w.Call)
+					}
+					delete(inside, w.Call)
+					work -= w.Work()
+				}
+				if got, want := q.Len(), len(inside); got != want {
+					t.Fatalf("got length %d, want %d", got, want)
+				}
+				if got, want := q.Work(), work; got != want {
+					t.Fatalf("got work %d, want %d", got, want)
+				}
+			}
+		}))
+	}
+}
--- a/internal/policy/queue/shortest.go
+++ b/internal/policy/queue/shortest.go
@@ -27,7 +27,9 @@
 func (q *shortest) Ahead(w *snipeford.Waiting) snipeford.Tokens {
 	var sum snipeford.Tokens
 	for _, other := range q.list[:q.rank(w)] {
-		sum += other.Work()
+		if other.Band() == w.Band() {
+			sum += other.Work()
+		}
 	}
 	return sum
 }
--- a/internal/policy/route/fixed_split.go
+++ b/internal/policy/route/fixed_split.go
@@ -22,6 +22,9 @@
 	return best(w, sameSide(replicas, short), func(r *snipeford.Replica) float64 { return float64(r.Prefill) })
 }
 
+// ShortWait is the prompt work before a short prompt.
+func (fixedSplit) ShortWait(r *snipeford.Replica) snipeford.Tokens { return r.Prefill }
+
 func (fixedSplit) Priority(*snipeford.Waiting) int { return 0 }
 
 // sameSide returns the replicas on one side of the split, or all where that
--- a/internal/policy/route/least_outstanding.go
+++ b/internal/policy/route/least_outstanding.go
@@ -17,4 +17,7 @@
 	return best(w, replicas, func(r *snipeford.Replica) float64 { return float64(r.Running) })
 }
 
+// ShortWait is the prompt work before a short prompt.
+func (leastOutstanding) ShortWait(r *snipeford.Replica) snipeford.Tokens { return r.Prefill }
+
 func (leastOutstanding) Priority(*snipeford.Waiting) int { return 0 }
--- a/internal/policy/route/moving_split.go
+++ b/internal/policy/route/moving_split.go
@@ -14,16 +14,28 @@
 
 // Limits of the moving split.
 const (
-	// shortUse is the use of the kept replicas that the split aims at.
-	shortUse = 0.35
 	// pipelineTokens is the prompt work below which an engine gets its next
 	// long prompt, so that it never runs dry.
 	pipelineTokens snipeford.Tokens = 4_096
-	// sharedStepCost is what a short prompt pays, in tokens, for joining an
-	// engine that fills its steps with long prompts.
-	sharedStepCost = 1_500
-	// decodeCost is the cost of one more running request in tokens.
-	decodeCost = 8
+	// fullStep is the assumed budget of an engine's step, and stepBase what a
+	// step takes beyond its tokens, in tokens.
+	fullStep snipeford.Tokens = 2_048
+	stepBase snipeford.Tokens = 900
+	// riskCost is the cost of a risk of one. A prompt whose risk beside long
+	// ones is below littleRisk leaves the kept replicas to the others, unless
+	// it would wait keptCost tokens longer.
+	riskCost   = 8_000
+	littleRisk = 0.03
+	keptCost   = 4_000
+	// usualShort is the length by which homes tell their ShortWait.
+	usualShort snipeford.Tokens = 1_500
+	// leastForSplit is the number of usable replicas from which one at least
+	// is kept for short prompts.
+	leastForSplit = 4
+	// shortUse is the use of the kept replicas that the split aims at, and
+	// splitRounding how much of a replica's need is rounded up.
+	shortUse      = 0.5
+	splitRounding = 0.3
 )
 
 type movingSplit struct{}
@@ -42,30 +54,61 @@
 		return
 	}
 	need := float64(load[snipeford.BandShort]) / shortUse
-	n := int(math.Round(need / (rate / float64(usable))))
+	n := int(math.Floor(need/(rate/float64(usable)) + splitRounding))
+	if usable >= leastForSplit && need > 0 {
+		n = max(n, 1)
+	}
 	markShort(replicas, min(n, usable/2))
 }
 
 func (movingSplit) Pick(w *snipeford.Waiting, replicas []*snipeford.Replica, cached func(snipeford.UpstreamID) snipeford.Tokens) *snipeford.Replica {
 	if w.Band() == snipeford.BandShort {
-		return best(w, replicas, func(r *snipeford.Replica) float64 { return shortCost(r) - float64(cached(r.ID)) })
+		return best(w, replicas, func(r *snipeford.Replica) float64 { return shortCost(r, w.Prompt) - float64(cached(r.ID)) })
 	}
-	r := best(w, ready(replicas), func(r *snipeford.Replica) float64 {
-		return float64(r.Prefill-cached(r.ID)) + decodeCost*float64(r.Running)
+	return best(w, ready(replicas), func(r *snipeford.Replica) float64 {
+		return float64(r.Prefill-cached(r.ID)) + float64(r.Running)
 	})
-	return r
 }
 
-// shortCost is the wait of a short prompt in tokens: the short work before it,
-// and the step it has to share.
-func shortCost(r *snipeford.Replica) float64 {
-	cost := 4*float64(r.ShortPrefill) + decodeCost*float64(r.Running)
+// ShortWait is the wait of a short prompt of usual length.
+func (movingSplit) ShortWait(r *snipeford.Replica) snipeford.Tokens {
+	return snipeford.Tokens(shortCost(r, usualShort))
+}
+
+// shortCost is what a short prompt pays at a replica, in tokens of prompt work:
+// the work before it, and the risk that its first token takes more than twice
+// as long as at an idle engine.
+func shortCost(r *snipeford.Replica, prompt snipeford.Tokens) float64 {
+	cost := float64(r.Running)
+	shared := riskBeside(fullStep, prompt, true)
+	if r.ShortPrefill > 0 {
+		cost += float64(r.ShortPrefill+stepBase)/2 + riskCost*riskBeside(r.ShortPrefill, prompt, false)
+	}
 	if r.Prefill > r.ShortPrefill {
-		cost += sharedStepCost
+		cost += float64(fullStep+stepBase)/2 + riskCost*shared
+	}
+	if r.Short && shared < littleRisk {
+		cost += keptCost
 	}
 	return cost
 }
 
+// riskBeside returns the probability that a prompt at an engine that is busy
+// with other work gets its first token later than twice its time at an idle
+// engine. It comes in at any moment of a running step, which takes up to
+// fullStep tokens. Where the other work is long, it fills the prompt's own
+// steps up as well.
+func riskBeside(other, prompt snipeford.Tokens, fills bool) float64 {
+	steps := (prompt + fullStep - 1) / fullStep
+	idle := float64(steps*stepBase + prompt)
+	own := idle
+	if fills {
+		own = float64(steps * (fullStep + stepBase))
+	}
+	running := float64(stepBase + min(other, fullStep))
+	return min(1, max(0, (running-(2*idle-own))/running))
+}
+
 // ready returns the replicas that a long prompt may go to now.
 func ready(replicas []*snipeford.Replica) []*snipeford.Replica {
 	var out []*snipeford.Replica
@@ -77,4 +120,23 @@
 	return out
 }
 
-func (movingSplit) Priority(w *snipeford.Waiting) int { return int(w.Band()) }
+// Engine priorities, the first served first. Prompts that span engines get the
+// one left between.
+const (
+	oneStepPriority = 0
+	shortPriority   = 1
+	otherPriority   = 3
+)
+
+// Priority lets short prompts go first, before all those of one step. All
+// others keep the order in which the home sent them: one that holds memory
+// should end soon.
+func (movingSplit) Priority(w *snipeford.Waiting) int {
+	switch {
+	case w.Prompt <= fullStep:
+		return oneStepPriority
+	case w.Band() == snipeford.BandShort:
+		return shortPriority
+	}
+	return otherPriority
+}
--- a/internal/request/dispatch/desk.go
+++ b/internal/request/dispatch/desk.go
@@ -176,7 +176,8 @@
 	if len(e.Parts) == 1 {
 		return r.desk.Engine.Generate(ctx, e.Parts[0].Upstream, g, r.pass)
 	}
-	return r.desk.Engine.GenerateSegments(ctx, r.segments(e), g, r.pass)
+	started := func(part int) { r.desk.Loop.Send(reducer.PartStarted{Call: r.call.ID, Part: part}) }
+	return r.desk.Engine.GenerateSegments(ctx, r.segments(e), g, started, r.pass)
 }
 
 func (r *serving) segments(e reducer.Dispatch) []engine.Segment {
--- a/internal/upstream/engine/segments.go
+++ b/internal/upstream/engine/segments.go
@@ -22,8 +22,9 @@
 // GenerateSegments serves a prompt by several engines: it reserves memory at
 // all of them, in the given order, or at none; computes the segments one after
 // the other, each importing what the one before exported; lets the last engine
-// answer; and releases all whatever happened.
-func (c *Client) GenerateSegments(ctx context.Context, segments []Segment, g Generate, pass func(stream.Chunk) error) Result {
+// answer; and releases all whatever happened. Started is called as each segment
+// but the first begins.
+func (c *Client) GenerateSegments(ctx context.Context, segments []Segment, g Generate, started func(part int), pass func(stream.Chunk) error) Result {
 	defer c.releaseAll(ctx, segments, g)
 	for _, s := range segments {
 		r := Reserve{g.Attempt, s.Memory, reservationSeconds, g.Fence}
@@ -33,7 +34,7 @@
 		}
 	}
 	last := len(segments) - 1
-	for _, s := range segments[:last] {
+	for i, s := range segments[:last] {
 		p := Prefill{g.Attempt, s.Prompt, g.Handle, g.Priority, g.Fence}
 		handle, err := c.Prefill(ctx, s.Upstream, p)
 		if err != nil {
@@ -41,6 +42,7 @@
 			return Result{End: snipeford.EndBroken, Next: g.Offset, Err: err}
 		}
 		g.Handle = handle
+		started(i + 1)
 	}
 	g.Prompt = segments[last].Prompt
 	return c.Generate(ctx, segments[last].Upstream, g, pass)
--- a/scheduling.go
+++ b/scheduling.go
@@ -36,6 +36,8 @@
 	Memory Tokens
 	// Committed is the memory of the requests that the home dispatched.
 	Committed Tokens
+	// Reserved is the memory that a claim of a longer prompt waits for.
+	Reserved Tokens
 	// Running counts dispatched requests, and Window how many are allowed.
 	Running int
 	Window  int
@@ -51,7 +53,7 @@
 
 // Fits reports whether window and memory allow one more request.
 func (r *Replica) Fits(w *Waiting) bool {
-	return r.Usable && r.Running < r.Window && r.Committed+w.Memory() <= r.Memory
+	return r.Usable && r.Running < r.Window && r.Committed+r.Reserved+w.Memory() <= r.Memory
 }
 
 // Queue orders the waiting requests of one group.
@@ -64,8 +66,10 @@
 	Next(now Instant, place func(*Waiting) bool) *Waiting
 	// Expired takes out the requests whose GiveUp has passed.
 	Expired(now Instant) []*Waiting
-	// Ahead returns the work that would be served before a new request.
+	// Ahead returns the work of a new request's band that would be served
+	// before it, and Backlog all waiting work of a band.
 	Ahead(w *Waiting) Tokens
+	Backlog(band LengthBand) Tokens
 	Len() int
 	Work() Tokens
 	// ByOrganisation counts the waiting requests of each organisation.
@@ -79,6 +83,9 @@
 	Arrange(replicas []*Replica, load [BandCount]TokensPerSecond)
 	// Pick returns the replica, or nil where the request has to wait.
 	Pick(w *Waiting, replicas []*Replica, cached func(UpstreamID) Tokens) *Replica
+	// ShortWait returns the wait of a short prompt at a replica, in tokens of
+	// prompt work.
+	ShortWait(r *Replica) Tokens
 	// Priority returns the engine priority of a request; lower goes first.
 	Priority(w *Waiting) int
 }
