Serve light organisations, long claims and returning domains without waste

Change: usage halved every 10 s marks light organisations, which go first at the engines too; summaries tell warm replicas and free windows; retries are budgeted at the dispatch and put off, not given up; the claimant is sent first, and claims only where nothing shorter waits or after half its wait; a rejection makes a window cold at once and reports of the next 2 s are not trusted.

--- a/cmd/standin/verb/bench.go
+++ b/cmd/standin/verb/bench.go
@@ -37,7 +37,7 @@
 	}
 	for _, d := range bench.Deployments {
 		bench.PolicyTable(r, d, policies, bench.Loads, v.length, v.seed)
-		bench.Neighbour(r, d, v.length, v.seed)
+		bench.Neighbour(r, d, 3*v.length, v.seed)
 		bench.DomainChange(r, d, v.seed)
 		bench.Chill(r, d, v.seed)
 		bench.Failure(r, d, v.seed)
--- a/internal/control/reducer/entry.go
+++ b/internal/control/reducer/entry.go
@@ -136,6 +136,7 @@
 	}
 	k.group, k.forwarded = g.name, true
 	g.sent += k.Prompt
+	g.sentCalls++
 	s.emit(Forward{k.ID, g.name, g.row.Node, k.Offset})
 }
 
@@ -255,7 +256,7 @@
 		}
 	case snipeford.CauseUpstreamFailed:
 		// The node that broke the call off cost an attempt elsewhere, too.
-		if e.Outcome == snipeford.Unknown && k.bounces < bounceLimit && s.retries.Take(k.bounces) {
+		if e.Outcome == snipeford.Unknown && k.bounces < bounceLimit && s.retries.Take() {
 			return nil
 		}
 	}
--- a/internal/control/reducer/gang.go
+++ b/internal/control/reducer/gang.go
@@ -19,11 +19,11 @@
 // before it has left; smaller work goes on beside the claim. One prompt at a
 // time claims in a group, and only the group's home reserves there, so that
 // two such prompts can't deadlock.
-func (d *dispatcher) pickReserved(w *snipeford.Waiting) []*replica {
-	if d.claimedBy != "" && d.claimedBy != w.Call {
+func (d *dispatcher) pickReserved(now snipeford.Instant, w *snipeford.Waiting) []*replica {
+	if d.claimant != nil && d.claimant != w {
 		return nil
 	}
-	if d.claimedBy == "" && !d.claim(w) {
+	if d.claimant == nil && (!d.mayClaim(now, w) || !d.claim(w)) {
 		return nil
 	}
 	need := d.claimed[0].Reserved
@@ -41,6 +41,32 @@
 	return parts
 }
 
+// sendClaimant sends the prompt that holds the claim as soon as there is room,
+// before any other is offered.
+func (s *State) sendClaimant(now snipeford.Instant, g *group) {
+	d := g.dispatcher
+	w := d.claimant
+	if w == nil || w.NotBefore > now {
+		return
+	}
+	if parts := d.pickReserved(now, w); parts != nil {
+		s.send(now, g, d.queue.Take(w.Call), parts)
+	}
+}
+
+// claimShare is the part of its allowed wait after which a prompt may claim
+// memory while shorter ones wait.
+const claimShare = 0.5
+
+// mayClaim reports whether a prompt may claim memory now: where no shorter one
+// waits that the claim would hold up, or after a part of its allowed wait.
+func (d *dispatcher) mayClaim(now snipeford.Instant, w *snipeford.Waiting) bool {
+	if d.queue.Backlog(snipeford.BandLong) == 0 && d.queue.Backlog(snipeford.BandMedium) == 0 {
+		return true
+	}
+	return float64(now.Sub(w.Arrival)) > claimShare*float64(w.GiveUp.Sub(w.Arrival))
+}
+
 // claim chooses the emptiest replicas that together hold the prompt, ordered
 // by name as they are reserved.
 func (d *dispatcher) claim(w *snipeford.Waiting) bool {
@@ -64,7 +90,7 @@
 	}
 	d.claimed = append([]*replica(nil), usable[:n]...)
 	sort.Slice(d.claimed, func(i, j int) bool { return d.claimed[i].ID < d.claimed[j].ID })
-	d.claimedBy = w.Call
+	d.claimant = w
 	for _, r := range d.claimed {
 		r.Reserved = need
 	}
@@ -89,11 +115,11 @@
 
 // unclaim ends a call's claim.
 func (d *dispatcher) unclaim(id snipeford.CallID) {
-	if d.claimedBy != id {
+	if d.claimant == nil || d.claimant.Call != id {
 		return
 	}
 	for _, r := range d.claimed {
 		r.Reserved = 0
 	}
-	d.claimed, d.claimedBy = nil, ""
+	d.claimed, d.claimant = nil, nil
 }
--- a/internal/control/reducer/group.go
+++ b/internal/control/reducer/group.go
@@ -36,7 +36,8 @@
 	summary snipeford.GroupSummary
 	heard   snipeford.Instant
 	// sent is the work that this entry sent since the last summary.
-	sent snipeford.Tokens
+	sent      snipeford.Tokens
+	sentCalls int
 	// memory is the replicas' memory together, by the platform's list.
 	memory     snipeford.Tokens
 	dispatcher *dispatcher
@@ -59,9 +60,11 @@
 	// learned rate at which a band is served while some of it waits.
 	sent [snipeford.BandCount]snipeford.Tokens
 	pace [snipeford.BandCount]snipeford.TokensPerSecond
+	// usage is each organisation's offered work, halved every usageHalfLife.
+	usage map[snipeford.Organisation]*usage
 	// claimed holds the replicas that a prompt larger than one engine waits for.
-	claimed   []*replica
-	claimedBy snipeford.CallID
+	claimed  []*replica
+	claimant *snipeford.Waiting
 }
 
 // replica is one upstream with what its home knows of it.
@@ -105,6 +108,7 @@
 		router:  r,
 		running: map[snipeford.CallID]*running{},
 		calls:   map[snipeford.CallID]snipeford.Call{},
+		usage:   map[snipeford.Organisation]*usage{},
 	}
 }
 
@@ -129,13 +133,18 @@
 	if g.dispatcher != nil {
 		summary = g.summarize(now)
 	}
-	if snipeford.BandOf(c.Prompt) == snipeford.BandShort {
-		return summary.ShortCost
+	cost := summary.ShortCost
+	if snipeford.BandOf(c.Prompt) != snipeford.BandShort {
+		cost = (summary.Backlog + g.sent) / snipeford.Tokens(max(1, summary.Warm))
 	}
-	if summary.Usable == 0 {
-		return summary.Backlog
+	if summary.Free <= g.sentCalls {
+		cost += fullWindow
 	}
-	return (summary.Backlog + g.sent) / snipeford.Tokens(summary.Usable)
+	if summary.Warm == 0 {
+		// A cold engine is slow, the more so the longer the prompt.
+		cost += c.Prompt
+	}
+	return cost
 }
 
 // summarize returns what the home tells the entries.
@@ -149,6 +158,10 @@
 		}
 		r.refresh(now)
 		out.Usable++
+		out.Free += max(0, r.Window-r.Running)
+		if !r.Cold {
+			out.Warm++
+		}
 		out.Memory += r.Memory
 		out.Largest = max(out.Largest, r.Memory)
 		out.Rate += r.Rate
@@ -185,6 +198,7 @@
 	r.Prefill = snipeford.Tokens(r.longWork) + r.ShortPrefill
 	r.Running = r.own + r.foreign
 	r.Window = r.window.Limit()
+	r.Cold = r.window.State() == snipeford.StateCold
 }
 
 // offered takes a call into the group's queue, or sends it back.
@@ -201,6 +215,7 @@
 	}
 	w := s.waiting(now, e.Call)
 	d.arriving[w.Band()] += w.Prompt
+	w.Favoured = d.favoured(now, w)
 	if late := g.late(now, w); late > 0 {
 		s.emit(Bounce{e.Call.ID, e.Group, snipeford.CauseOverload, snipeford.NotRun, late})
 		return
@@ -256,20 +271,39 @@
 	for _, r := range d.replicas {
 		r.refresh(now)
 	}
+	s.sendClaimant(now, g)
 	for d.queue.Len() > 0 {
 		var parts []*replica
+		postponed := false
 		w := d.queue.Next(now, func(w *snipeford.Waiting) bool {
-			parts = d.pick(w)
+			if postponed = s.postpone(now, w); postponed {
+				return false
+			}
+			parts = d.pick(now, w)
 			return parts != nil
 		})
+		if w == nil && postponed {
+			continue
+		}
 		if w == nil {
 			return
 		}
-		d.sent[w.Band()] += w.Work()
 		s.send(now, g, w, parts)
 	}
 }
 
+// postpone puts a retry off where the budget has no room for it now.
+func (s *State) postpone(now snipeford.Instant, w *snipeford.Waiting) bool {
+	if w.Attempts == 0 || s.retries.Room() {
+		return false
+	}
+	w.NotBefore = now.Add(retryPause)
+	return true
+}
+
+// retryPause is the time after which a retry without budget is offered again.
+const retryPause = 200 * time.Millisecond
+
 // arrange lets the router move its split with the load.
 func (s *State) arrange(now snipeford.Instant, d *dispatcher) {
 	elapsed := now.Sub(d.arranged)
@@ -293,14 +327,14 @@
 }
 
 // pick returns the replicas for a call, or nil where it has to wait.
-func (d *dispatcher) pick(w *snipeford.Waiting) []*replica {
+func (d *dispatcher) pick(now snipeford.Instant, w *snipeford.Waiting) []*replica {
 	if w.Memory() > 0 && w.Memory() > d.largest()-shortReserve {
-		return d.pickReserved(w)
+		return d.pickReserved(now, w)
 	}
 	chosen := d.router.Pick(w, d.views, d.affinity.Cached(w.Prefix))
 	if chosen == nil {
 		if w.Band() == snipeford.BandHuge {
-			return d.pickReserved(w)
+			return d.pickReserved(now, w)
 		}
 		return nil
 	}
@@ -326,7 +360,11 @@
 // send makes a waiting call a running one.
 func (s *State) send(now snipeford.Instant, g *group, w *snipeford.Waiting, parts []*replica) {
 	d := g.dispatcher
+	if w.Attempts > 0 {
+		s.retries.Take()
+	}
 	w.Attempts++
+	d.sent[w.Band()] += w.Work()
 	run := &running{w: w, parts: parts, started: now, alone: true}
 	effect := Dispatch{
 		Call:     w.Call,
@@ -368,7 +406,7 @@
 }
 
 // severalPriority is the engine priority of a prompt that spans several engines.
-const severalPriority = 2
+const severalPriority = 3
 
 // take counts a dispatched call at a replica.
 func (r *replica) take(memory snipeford.Tokens) {
@@ -504,13 +542,17 @@
 func (s *State) failed(now snipeford.Instant, g *group, run *running, c snipeford.Call, e AttemptEnded) {
 	w := run.w
 	for _, r := range run.parts {
+		if e.End == snipeford.EndRejected {
+			r.window.Rejected(now)
+			continue
+		}
 		r.window.Failed(now)
 	}
 	unsent := e.End == snipeford.EndUnsent
 	w.Offset = max(w.Offset, e.Offset)
 	w.NotBefore = retry.At(now, w.Attempts, c.Seed)
 	allowed := c.Idempotent || unsent
-	if allowed && w.NotBefore < c.Deadline && g.dispatcher.usable() > 0 && s.retries.Take(w.Attempts) {
+	if allowed && w.NotBefore < c.Deadline && g.dispatcher.usable() > 0 && retry.Allowed(w.Attempts) {
 		w.GiveUp = max(w.GiveUp, min(now.Add(retryWait), c.Deadline))
 		g.dispatcher.queue.Push(w)
 		return
@@ -524,7 +566,7 @@
 }
 
 // retryWait is the least time that a retried call may wait in the queue.
-const retryWait = 3 * time.Second
+const retryWait = 15 * time.Second
 
 // withdrawn drops a call that nobody waits for any more.
 func (s *State) withdrawn(id snipeford.CallID) {
--- a/internal/control/reducer/membership.go
+++ b/internal/control/reducer/membership.go
@@ -113,7 +113,7 @@
 			s.loseHome(g)
 		}
 	}
-	g.summary, g.heard, g.sent = summary, now, 0
+	g.summary, g.heard, g.sent, g.sentCalls = summary, now, 0, 0
 }
 
 // fresh returns the peers that were heard lately.
--- a/internal/control/reducer/reducer_test.go
+++ b/internal/control/reducer/reducer_test.go
@@ -1,6 +1,7 @@
 package reducer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -162,3 +163,55 @@
 		mustFind[Dispatch](t, s.Apply(second, Offered{newCall("d", "M", 1_000), groupOf(engineOne)}))
 	})
 }
+
+func TestClaim(t *testing.T) {
+	t.Run("a claim is not starved by a shorter prompt that comes later", func(t *testing.T) {
+		s := alone(t, engineOne)
+		warm(s, engineOne)
+		mustFind[Dispatch](t, s.Apply(second, Offered{newCall("running", "M", 250_000), groupOf(engineOne)}))
+		wantNone[Dispatch](t, s.Apply(second, Offered{newCall("claimant", "M", 300_000), groupOf(engineOne)}))
+		wantNone[Dispatch](t, s.Apply(second, Offered{newCall("shorter", "M", 200_000), groupOf(engineOne)}))
+		s.Apply(second, FirstToken{"running"})
+		d := mustFind[Dispatch](t, s.Apply(2*second, AttemptEnded{"running", snipeford.EndDone, 10}))
+		if got, want := d.Call, snipeford.CallID("claimant"); got != want {
+			t.Errorf("got %s, want %s", got, want)
+		}
+	})
+	t.Run("a withdrawn prompt gives its claim back", func(t *testing.T) {
+		s := alone(t, engineOne)
+		warm(s, engineOne)
+		mustFind[Dispatch](t, s.Apply(second, Offered{newCall("running", "M", 250_000), groupOf(engineOne)}))
+		s.Apply(second, Offered{newCall("claimant", "M", 300_000), groupOf(engineOne)})
+		s.Apply(second, Withdrawn{"claimant"})
+		if got := s.groups[groupOf(engineOne)].dispatcher.replicas[0].Reserved; got != 0 {
+			t.Errorf("got %d tokens reserved, want 0", got)
+		}
+	})
+}
+
+func TestRetryBudget(t *testing.T) {
+	s := alone(t, engineOne)
+	warm(s, engineOne)
+	now := second
+	retries := 0
+	for i := range 400 {
+		id := snipeford.CallID(fmt.Sprint("call-", i))
+		c := newCall(id, "M", 1_000)
+		c.GiveUp, c.Deadline = 1000*second, 1000*second
+		s.Apply(now, Arrived{c})
+		s.Apply(now, Offered{c, groupOf(engineOne)})
+		for range 8 {
+			now += second / 4
+			for _, e := range s.Apply(now, Ticked{}) {
+				if d, ok := e.(Dispatch); ok && d.Attempt > 1 {
+					retries++
+				}
+			}
+			s.Apply(now, AttemptEnded{id, snipeford.EndBroken, 0})
+			warm(s, engineOne)
+		}
+	}
+	if got, want := retries, 400/10+30; got > want {
+		t.Errorf("got %d retries of 400 offered calls, want at most a tenth and one burst, %d", got, want)
+	}
+}
--- a/internal/control/reducer/status.go
+++ b/internal/control/reducer/status.go
@@ -88,7 +88,7 @@
 		Waiting: d.queue.ByOrganisation(),
 		Work:    d.queue.Work(),
 		Running: len(d.running),
-		Claimed: d.claimedBy != "",
+		Claimed: d.claimant != nil,
 	}
 	for _, r := range d.replicas {
 		out.Upstreams = append(out.Upstreams, r.status())
--- a/internal/policy/queue/fair.go
+++ b/internal/policy/queue/fair.go
@@ -82,6 +82,17 @@
 	return nil
 }
 
+func (q *fair) Take(id snipeford.CallID) *snipeford.Waiting {
+	for _, s := range q.order {
+		for i, w := range s.list {
+			if w.Call == id {
+				return q.serve(s, i)
+			}
+		}
+	}
+	return nil
+}
+
 func (q *fair) Expired(now snipeford.Instant) []*snipeford.Waiting {
 	var out []*snipeford.Waiting
 	for _, s := range q.order {
--- a/internal/policy/queue/policy.go
+++ b/internal/policy/queue/policy.go
@@ -75,6 +75,9 @@
 	return nil
 }
 
+// Take takes a request out to serve it, out of its turn.
+func (e *entries) Take(id snipeford.CallID) *snipeford.Waiting { return e.Remove(id) }
+
 // Expired takes out the requests whose GiveUp has passed.
 func (e *entries) Expired(now snipeford.Instant) []*snipeford.Waiting {
 	var out []*snipeford.Waiting
--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -13,8 +13,9 @@
 const Share = 0.1
 
 const (
-	// burst is how many retries may come at once after a quiet time.
-	burst = 3
+	// burst is how many retries may come at once after a quiet time: the running
+	// requests of one lost engine.
+	burst = 30
 	// attempts is the highest number of dispatches of one request.
 	attempts = 4
 	// firstDelay and longestDelay bound the exponential delay of a retry.
@@ -36,9 +37,15 @@
 	b.spent = max(0, b.spent-Share)
 }
 
-// Take allows one retry, or not.
-func (b *Budget) Take(attemptsMade int) bool {
-	if attemptsMade >= attempts || b.spent+1 > burst {
+// Allowed reports whether a request may be dispatched once more at all.
+func Allowed(attemptsMade int) bool { return attemptsMade < attempts }
+
+// Room reports whether Take would allow a retry now.
+func (b *Budget) Room() bool { return b.spent+1 <= burst }
+
+// Take allows one retry now, or not. A refused one may come later.
+func (b *Budget) Take() bool {
+	if !b.Room() {
 		return false
 	}
 	b.spent++
--- a/internal/policy/route/moving_split.go
+++ b/internal/policy/route/moving_split.go
@@ -21,6 +21,10 @@
 	// step takes beyond its tokens, in tokens.
 	fullStep snipeford.Tokens = 2_048
 	stepBase snipeford.Tokens = 900
+	// favouredReserve is the memory that is left to favoured prompts, and
+	// favouredKeptCost what they pay for a replica kept for short ones.
+	favouredReserve  snipeford.Tokens = 60_000
+	favouredKeptCost                  = 1_000_000
 	// riskCost is the cost of a risk of one. A prompt whose risk beside long
 	// ones is below littleRisk leaves the kept replicas to the others, unless
 	// it would wait keptCost tokens longer.
@@ -65,9 +69,22 @@
 	if w.Band() == snipeford.BandShort {
 		return best(w, replicas, func(r *snipeford.Replica) float64 { return shortCost(r, w.Prompt) - float64(cached(r.ID)) })
 	}
-	return best(w, ready(replicas), func(r *snipeford.Replica) float64 {
-		return float64(r.Prefill-cached(r.ID)) + float64(r.Running)
-	})
+	if w.Favoured {
+		return best(w, replicas, func(r *snipeford.Replica) float64 { return longCost(w, r, cached) })
+	}
+	return best(w, ready(w, replicas, cached), func(r *snipeford.Replica) float64 { return longCost(w, r, cached) })
+}
+
+// longCost is what a longer prompt pays at a replica, in tokens.
+func longCost(w *snipeford.Waiting, r *snipeford.Replica, cached func(snipeford.UpstreamID) snipeford.Tokens) float64 {
+	cost := float64(r.Prefill-cached(r.ID)) + float64(r.Running)
+	if r.Cold {
+		cost += float64(w.Prompt)
+	}
+	if r.Short {
+		cost += favouredKeptCost
+	}
+	return cost
 }
 
 // ShortWait is the wait of a short prompt of usual length.
@@ -87,6 +104,9 @@
 	if r.Prefill > r.ShortPrefill {
 		cost += float64(fullStep+stepBase)/2 + riskCost*shared
 	}
+	if r.Cold {
+		cost += float64(prompt)
+	}
 	if r.Short && shared < littleRisk {
 		cost += keptCost
 	}
@@ -109,13 +129,19 @@
 	return min(1, max(0, (running-(2*idle-own))/running))
 }
 
-// ready returns the replicas that a long prompt may go to now.
-func ready(replicas []*snipeford.Replica) []*snipeford.Replica {
+// ready returns the replicas that a longer prompt of an organisation that is
+// not favoured may go to now. It may wait at an engine for as long as the
+// engine's cache saves, and leaves some memory to favoured ones.
+func ready(w *snipeford.Waiting, replicas []*snipeford.Replica, cached func(snipeford.UpstreamID) snipeford.Tokens) []*snipeford.Replica {
 	var out []*snipeford.Replica
 	for _, r := range replicas {
-		if !r.Short && r.Prefill < pipelineTokens {
-			out = append(out, r)
+		if r.Short || r.Prefill >= pipelineTokens+cached(r.ID) {
+			continue
+		}
+		if r.Committed+r.Reserved+w.Memory() > r.Memory-favouredReserve && r.Committed > 0 {
+			continue
 		}
+		out = append(out, r)
 	}
 	return out
 }
@@ -125,7 +151,8 @@
 const (
 	oneStepPriority = 0
 	shortPriority   = 1
-	otherPriority   = 3
+	lightPriority   = 2
+	otherPriority   = 4
 )
 
 // Priority lets short prompts go first, before all those of one step. All
@@ -137,6 +164,8 @@
 		return oneStepPriority
 	case w.Band() == snipeford.BandShort:
 		return shortPriority
+	case w.Favoured:
+		return lightPriority
 	}
 	return otherPriority
 }
--- a/internal/policy/window/slow_start.go
+++ b/internal/policy/window/slow_start.go
@@ -26,6 +26,9 @@
 	jumpsInRow = 3
 	// failuresInRow is how many failures in a row make the window fall back.
 	failuresInRow = 2
+	// distrust is how long after a fallback reports that say warm are taken for
+	// older than it.
+	distrust = 2 * time.Second
 )
 
 // New returns a window for an upstream that nothing is known of.
@@ -35,25 +38,29 @@
 	size        int
 	state       snipeford.WindowState
 	incarnation snipeford.Incarnation
-	reported    bool
 	reportsCold bool
 	successes   int
 	slow        int
 	failures    int
+	fell        snipeford.Instant
+	hasFallen   bool
 }
 
 func (s *slowStart) Limit() int { return s.size }
 
 func (s *slowStart) State() snipeford.WindowState { return s.state }
 
-func (s *slowStart) Reported(l snipeford.Load, _ snipeford.Instant) {
+func (s *slowStart) Reported(l snipeford.Load, now snipeford.Instant) {
 	if l.Incarnation != s.incarnation {
 		s.incarnation = l.Incarnation
-		s.fallBack()
+		s.fallBack(now)
+		s.hasFallen = false
 	}
-	s.reported = true
 	if l.Cold && !s.reportsCold {
-		s.fallBack()
+		s.fallBack(now)
+	}
+	if !l.Cold && s.hasFallen && now.Sub(s.fell) < distrust {
+		return
 	}
 	s.reportsCold = l.Cold
 	if !l.Cold && s.state == snipeford.StateCold {
@@ -62,12 +69,12 @@
 	}
 }
 
-func (s *slowStart) Succeeded(_ snipeford.Instant, firstToken, expected time.Duration) {
+func (s *slowStart) Succeeded(now snipeford.Instant, firstToken, expected time.Duration) {
 	s.failures = 0
 	if s.state == snipeford.StateWarm && expected > 0 && firstToken > jump*expected+time.Second {
 		s.slow++
 		if s.slow >= jumpsInRow {
-			s.fallBack()
+			s.fallBack(now)
 		}
 		return
 	}
@@ -86,16 +93,19 @@
 	}
 }
 
-func (s *slowStart) Failed(snipeford.Instant) {
+func (s *slowStart) Failed(now snipeford.Instant) {
 	s.failures++
 	if s.failures >= failuresInRow {
-		s.fallBack()
+		s.fallBack(now)
 	}
 }
 
+func (s *slowStart) Rejected(now snipeford.Instant) { s.fallBack(now) }
+
 // fallBack makes the window cold. It grows again only after a report that
 // says the upstream is warm.
-func (s *slowStart) fallBack() {
+func (s *slowStart) fallBack(now snipeford.Instant) {
+	s.fell, s.hasFallen = now, true
 	s.size = ColdSize
 	s.state = snipeford.StateCold
 	s.reportsCold = true
--- a/node.go
+++ b/node.go
@@ -30,6 +30,10 @@
 	Group  Group
 	Fence  Fence
 	Usable int
+	// Warm counts the usable replicas that are not cold, and Free the requests
+	// that their windows still allow.
+	Warm int
+	Free int
 	// Memory is the sum over usable replicas, and Largest the largest one's.
 	Memory  Tokens
 	Largest Tokens
--- a/scheduling.go
+++ b/scheduling.go
@@ -18,6 +18,8 @@
 	// NotBefore delays a retry.
 	NotBefore Instant
 	Attempts  int
+	// Favoured marks requests of organisations that use little.
+	Favoured bool
 }
 
 // Memory returns the engine memory that the request takes.
@@ -33,6 +35,8 @@
 type Replica struct {
 	ID     UpstreamID
 	Usable bool
+	// Cold replicas are slow and bear little.
+	Cold   bool
 	Memory Tokens
 	// Committed is the memory of the requests that the home dispatched.
 	Committed Tokens
@@ -61,6 +65,8 @@
 	Push(w *Waiting)
 	// Remove takes a request out, or returns nil where it is not queued.
 	Remove(id CallID) *Waiting
+	// Take takes a request out to serve it, out of its turn.
+	Take(id CallID) *Waiting
 	// Next offers requests to place in the policy's order, and takes out and
 	// returns the first one that place accepts, or nil.
 	Next(now Instant, place func(*Waiting) bool) *Waiting
@@ -111,4 +117,6 @@
 	Reported(l Load, now Instant)
 	Succeeded(now Instant, firstToken, expected time.Duration)
 	Failed(now Instant)
+	// Rejected says that the upstream bore no more.
+	Rejected(now Instant)
 }
