--- /dev/null
+++ b/internal/control/reducer/event_bench_test.go
@@ -0,0 +1,82 @@
+package reducer
+
+import (
+	"fmt"
+	"testing"
+
+	"snipeford"
+)
+
+// sized returns the state of a home of all groups with that many replicas, at
+// most eight a group, and that many peers.
+func sized(replicas, peers int) (*State, []snipeford.Upstream) {
+	s := New(Settings{Member: snipeford.Member{Node: "node-1", Domain: "domain-0"}, Queue: "Fair", Route: "MovingSplit", Alone: true})
+	groups := max(1, replicas/8)
+	var list []snipeford.Upstream
+	for i := range replicas {
+		g := i % groups
+		list = append(list, snipeford.Upstream{
+			ID: snipeford.UpstreamID(fmt.Sprintf("engine-%05d", i)), Kind: snipeford.KindEngine, Memory: 400_000,
+			Model: snipeford.Model(fmt.Sprint("model-", g/22)), Domain: snipeford.FailureDomain(fmt.Sprint("domain-", g%22)),
+		})
+	}
+	s.Apply(0, UpstreamsListed{list})
+	s.Apply(0, ConfigurationRead{rules(1)})
+	for _, u := range list {
+		s.Apply(0, LoadReported{snipeford.Load{Upstream: u.ID, Incarnation: "i", MemorySize: u.Memory}})
+	}
+	for i := range peers {
+		m := snipeford.Member{Node: snipeford.NodeID(fmt.Sprint("peer-", i))}
+		s.Apply(0, HeartbeatHeard{snipeford.Heartbeat{Member: m, TableUp: true}})
+	}
+	return s, list
+}
+
+// oneCall runs a call's five events.
+func oneCall(s *State, u snipeford.Upstream, i int) {
+	now := snipeford.Instant(i) * 1000
+	id := snipeford.CallID(fmt.Sprint(i))
+	c := newCall(id, u.Model, 2_000)
+	c.GiveUp, c.Deadline = now+10*second, now+60*second
+	s.Apply(now, Arrived{c})
+	s.Apply(now, Offered{c, groupOf(u)})
+	s.Apply(now, FirstToken{id})
+	s.Apply(now, AttemptEnded{id, snipeford.EndDone, 50})
+	s.Apply(now, Ended{id})
+}
+
+const eventsOfCall = 5
+
+func BenchmarkEvent(b *testing.B) {
+	for _, size := range []struct{ replicas, peers int }{{25, 6}, {25, 389}, {5_400, 6}, {5_400, 389}} {
+		b.Run(fmt.Sprintf("replicas=%d/peers=%d", size.replicas, size.peers), func(b *testing.B) {
+			s, list := sized(size.replicas, size.peers)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				oneCall(s, list[i%len(list)], i)
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*eventsOfCall), "ns/event")
+		})
+	}
+}
+
+// TestAllocationsDoNotGrow counts, as times would vary between machines.
+func TestAllocationsDoNotGrow(t *testing.T) {
+	count := func(replicas, peers int) float64 {
+		s, list := sized(replicas, peers)
+		i := 0
+		// Each group's first calls make its maps.
+		for ; i < 2*len(list); i++ {
+			oneCall(s, list[i%len(list)], i)
+		}
+		return testing.AllocsPerRun(2_000, func() {
+			oneCall(s, list[i%len(list)], i)
+			i++
+		})
+	}
+	small, large := count(25, 6), count(5_400, 389)
+	if got, want := large, small*1.2+1; got > want {
+		t.Errorf("got %.1f allocations a call at 5,400 replicas and 389 peers, want at most %.1f", got, want)
+	}
+}
--- a/internal/control/reducer/homes.go
+++ b/internal/control/reducer/homes.go
@@ -72,7 +72,7 @@
 		return
 	}
 	g := s.ensureGroup(e.Row.Group)
-	if e.Row.Fence < g.row.Fence {
+	if e.Row.Fence < g.row.Fence || g.dispatcher != nil {
 		return
 	}
 	g.row = e.Row
--- /dev/null
+++ b/internal/experiment/bench/bound_test.go
@@ -0,0 +1,40 @@
+package bench
+
+import (
+	"io"
+	"strings"
+	"testing"
+)
+
+func TestCheck(t *testing.T) {
+	const file = "[Bound]\n\"a\" = { AtMost = 2.0 } # target\n\"b\" = { AtLeast = 0.95, PartOf = \"a\" } # target\n"
+	bounds, err := ParseBounds("bounds.toml", []byte(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name         string
+		figures      []Figure
+		red          string
+		held, broken int
+	}{
+		{"both hold", []Figure{{"a", 2}, {"b", 1.9}}, "", 2, 0},
+		{"one above", []Figure{{"a", 2.1}, {"b", 2.1}}, "", 1, 1},
+		{"one below its part", []Figure{{"a", 2}, {"b", 1.8}}, "", 1, 1},
+		{"a missing figure is broken", []Figure{{"a", 1}}, "", 1, 1},
+		{"a known red one is passed over", []Figure{{"a", 2.1}, {"b", 2.1}}, "# comment\na | seen 2.1\n", 1, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			held, broken := Check(io.Discard, c.figures, bounds, ParseRed(strings.NewReader(c.red)))
+			if held != c.held || broken != c.broken {
+				t.Errorf("got %d held and %d broken, want %d and %d", held, broken, c.held, c.broken)
+			}
+		})
+	}
+	t.Run("a bound without a target is a fault with its line", func(t *testing.T) {
+		_, err := ParseBounds("bounds.toml", []byte("[Bound]\n\"a\" = { AtMost = 2.0 }\n"))
+		if err == nil || !strings.Contains(err.Error(), "bounds.toml:2") {
+			t.Errorf("got %v, want a fault at bounds.toml:2", err)
+		}
+	})
+}
--- a/internal/policy/route/moving_split.go
+++ b/internal/policy/route/moving_split.go
@@ -12,27 +12,36 @@
 	New:   func() snipeford.Router { return movingSplit{} },
 }
 
-// Limits of the moving split.
+// Sizes in tokens of prompt work.
 const (
 	// pipelineTokens is the prompt work below which an engine gets its next
 	// long prompt, so that it never runs dry.
 	pipelineTokens snipeford.Tokens = 4_096
 	// fullStep is the assumed budget of an engine's step, and stepBase what a
-	// step takes beyond its tokens, in tokens.
+	// step takes beyond its tokens.
 	fullStep snipeford.Tokens = 2_048
 	stepBase snipeford.Tokens = 900
-	// favouredReserve is the memory that is left to favoured prompts, and
-	// favouredKeptCost what they pay for a replica kept for short ones.
-	favouredReserve  snipeford.Tokens = 60_000
-	favouredKeptCost                  = 1_000_000
+	// favouredReserve is the memory that is left to favoured prompts.
+	favouredReserve snipeford.Tokens = 60_000
+	// usualShort is the length by which homes tell their ShortWait.
+	usualShort snipeford.Tokens = 1_500
+)
+
+// Costs in tokens of prompt work.
+const (
 	// riskCost is the cost of a risk of one. A prompt whose risk beside long
 	// ones is below littleRisk leaves the kept replicas to the others, unless
 	// it would wait keptCost tokens longer.
 	riskCost   = 8_000
 	littleRisk = 0.03
 	keptCost   = 4_000
-	// usualShort is the length by which homes tell their ShortWait.
-	usualShort snipeford.Tokens = 1_500
+	// favouredKeptCost is what a longer favoured prompt pays for a replica
+	// that is kept for short ones.
+	favouredKeptCost = 1_000_000
+)
+
+// Shape of the split.
+const (
 	// leastForSplit is the number of usable replicas from which one at least
 	// is kept for short prompts.
 	leastForSplit = 4
