Name the fence on the measured path

Cause: the direct calls of standin path carried no fencing number and were refused by the engine, so its figure for the engine alone was none. Change: the fence of the group's home goes with them.

--- a/cmd/standin/verb/path.go
+++ b/cmd/standin/verb/path.go
@@ -111,7 +111,7 @@
 func generateAlone(ctx context.Context, c *engine.Client, t *timer.Service, u snipeford.Upstream, fence snipeford.Fence, q arrival.Request) time.Duration {
 	start := t.Now()
 	var first time.Duration
-	g := engine.Generate{Attempt: dispatch.NewAttempt(), Prompt: q.Text(), MaxTokens: q.MaxOutput}
+	g := engine.Generate{Attempt: dispatch.NewAttempt(), Prompt: q.Text(), MaxTokens: q.MaxOutput, Fence: fence}
 	c.Generate(ctx, u, g, func(stream.Chunk) error {
 		if first == 0 {
 			first = t.Now().Sub(start)
--- a/internal/operate/node/node.go
+++ b/internal/operate/node/node.go
@@ -189,7 +189,7 @@
 	if err != nil {
 		return err
 	}
-	n.log.Info("node serves", "Node", n.self.Node, "Incarnation", n.self.Incarnation, "FailureDomain", n.self.Domain)
+	n.log.Info("node serves", "Incarnation", n.self.Incarnation, "FailureDomain", n.self.Domain)
 	select {
 	case <-ctx.Done():
 	case <-n.drain:
@@ -216,7 +216,7 @@
 }
 
 func (n *Node) stop(callers, peers, operators *http.Server) {
-	n.log.Info("node leaves", "Node", n.self.Node)
+	n.log.Info("node leaves")
 	n.leaving.Store(true)
 	n.loop.Send(reducer.LeaveOrdered{})
 	ctx, cancel := context.WithTimeout(context.Background(), stopGrace)
