Prove the promises on separate processes, and mend what broke

Ruled out: a longer wait for short prompts (holds callers back), asking the old home (dead in half of the cases). Change: a home hands its group over by one conditional write that names the successor, and tells all peers at once; new homes tell at once; shares start even; a cut off node is not ready; callers have a patience of their own.

--- a/cmd/standin/rig/rig.go
+++ b/cmd/standin/rig/rig.go
@@ -19,6 +19,7 @@
 
 	"snipeford"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/emulate/relay"
 	"snipeford/internal/experiment/load"
 )
 
@@ -44,6 +45,9 @@
 	LeaveDelay time.Duration
 	TraceFiles bool
 	Memory     snipeford.Tokens
+	// Relays puts a relay that can be cut before each node's way to the table
+	// and before its peers' listener.
+	Relays bool
 }
 
 // OperatorKey and peerKey are secrets of rigs alone.
@@ -69,6 +73,9 @@
 	Upstreams []snipeford.Upstream
 	Targets   []load.Target
 
+	// TableRelays and PeerRelays hold one relay a node, where the plan has any.
+	TableRelays, PeerRelays []*relay.Relay
+
 	mu        sync.Mutex
 	processes map[string]*Process
 	client    http.Client
@@ -177,8 +184,15 @@
 		delay = time.Second
 	}
 	name := NodeName(i)
-	text := fmt.Sprintf("Node = %q\nFailureDomain = %q\nCallerAddress = %q\nPeerAddress = %q\nOperatorAddress = %q\nTable = %q\nVMList = %q\nPeerKey = %q\nOperatorKey = %q\nLeaveDelay = %q\n",
-		name, r.domain(i), caller, peer, operator, "http://"+r.TableAt, "http://"+r.ListAt, peerKey, OperatorKey, delay)
+	table, listen := r.TableAt, peer
+	if r.Plan.Relays {
+		var err error
+		if table, peer, err = r.relays(peer); err != nil {
+			return err
+		}
+	}
+	text := fmt.Sprintf("Node = %q\nFailureDomain = %q\nCallerAddress = %q\nPeerAddress = %q\nPeerListenAddress = %q\nOperatorAddress = %q\nTable = %q\nVMList = %q\nPeerKey = %q\nOperatorKey = %q\nLeaveDelay = %q\n",
+		name, r.domain(i), caller, peer, listen, operator, "http://"+table, "http://"+r.ListAt, peerKey, OperatorKey, delay)
 	if r.Plan.TraceFiles {
 		text += fmt.Sprintf("TraceFile = %q\n", filepath.Join(r.Plan.Directory, name+".trace"))
 	}
@@ -189,6 +203,21 @@
 	return r.StartNode(i)
 }
 
+// relays starts a node's relays and returns their addresses.
+func (r *Rig) relays(peer string) (table, peers string, err error) {
+	toTable, err := relay.Start(r.TableAt)
+	if err != nil {
+		return "", "", err
+	}
+	toPeer, err := relay.Start(peer)
+	if err != nil {
+		return "", "", err
+	}
+	r.TableRelays = append(r.TableRelays, toTable)
+	r.PeerRelays = append(r.PeerRelays, toPeer)
+	return toTable.Address(), toPeer.Address(), nil
+}
+
 func (r *Rig) settingsPath(name string) string {
 	return filepath.Join(r.Plan.Directory, name+".toml")
 }
@@ -268,6 +297,9 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	ended := 0
+	for _, one := range append(r.TableRelays, r.PeerRelays...) {
+		one.Close()
+	}
 	for _, p := range r.processes {
 		select {
 		case <-p.ended:
--- a/cmd/standin/verb/path.go
+++ b/cmd/standin/verb/path.go
@@ -18,6 +18,7 @@
 	"snipeford/internal/experiment/arrival"
 	"snipeford/internal/experiment/load"
 	"snipeford/internal/request/dispatch"
+	"snipeford/internal/request/prompt"
 	"snipeford/internal/request/stream"
 	"snipeford/internal/upstream/engine"
 )
@@ -111,7 +112,8 @@
 func generateAlone(ctx context.Context, c *engine.Client, t *timer.Service, u snipeford.Upstream, fence snipeford.Fence, q arrival.Request) time.Duration {
 	start := t.Now()
 	var first time.Duration
-	g := engine.Generate{Attempt: dispatch.NewAttempt(), Prompt: q.Text(), MaxTokens: q.MaxOutput, Fence: fence}
+	text := q.Text()
+	g := engine.Generate{Attempt: dispatch.NewAttempt(), Prompt: text, MaxTokens: q.MaxOutput, Fence: fence, Blocks: prompt.Blocks(text)}
 	c.Generate(ctx, u, g, func(stream.Chunk) error {
 		if first == 0 {
 			first = t.Now().Sub(start)
--- a/internal/control/reducer/effect.go
+++ b/internal/control/reducer/effect.go
@@ -69,8 +69,8 @@
 // Row.RowVersion.
 type ClaimHome struct{ Row snipeford.HomeRow }
 
-// ReleaseHome gives the home away by a conditional write.
-type ReleaseHome struct{ Row snipeford.HomeRow }
+// HandHome gives a home to the node that Row names, by a conditional write.
+type HandHome struct{ Row snipeford.HomeRow }
 
 // SendHeartbeat tells one peer.
 type SendHeartbeat struct {
@@ -108,7 +108,7 @@
 func (RenewLease) effect()         {}
 func (ReadRows) effect()           {}
 func (ClaimHome) effect()          {}
-func (ReleaseHome) effect()        {}
+func (HandHome) effect()           {}
 func (SendHeartbeat) effect()      {}
 func (PollLoad) effect()           {}
 func (ReadUpstreams) effect()      {}
--- a/internal/control/reducer/event.go
+++ b/internal/control/reducer/event.go
@@ -92,8 +92,8 @@
 	Won bool
 }
 
-// HomeReleased says that a conditional write gave a home away.
-type HomeReleased struct{ Group snipeford.Group }
+// HomeHanded says that a conditional write gave a home to another node.
+type HomeHanded struct{ Row snipeford.HomeRow }
 
 // HeartbeatHeard brings a peer's heartbeat.
 type HeartbeatHeard struct{ Heartbeat snipeford.Heartbeat }
@@ -117,6 +117,6 @@
 func (LeaseAnswered) event()     {}
 func (RowsRead) event()          {}
 func (HomeClaimed) event()       {}
-func (HomeReleased) event()      {}
+func (HomeHanded) event()        {}
 func (HeartbeatHeard) event()    {}
 func (LeaveOrdered) event()      {}
--- a/internal/control/reducer/fleet.go
+++ b/internal/control/reducer/fleet.go
@@ -141,7 +141,7 @@
 	}
 	share := 1.0
 	if !s.settings.Alone {
-		share = limit.Floor(len(s.members))
+		share = limit.Even(len(s.members))
 	}
 	a := limit.NewAccount(s.limitRule(o), share, now)
 	s.accounts[o] = a
--- a/internal/control/reducer/homes.go
+++ b/internal/control/reducer/homes.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"snipeford"
 	"snipeford/internal/fleet/home"
@@ -38,8 +39,9 @@
 	if !due(&s.due.claim, now, claimEvery) || !s.view.Known() || !s.tableUp {
 		return
 	}
+	staying := s.staying()
 	for _, g := range s.groups {
-		wanted := home.OfGroup(g.name, s.members)
+		wanted := home.OfGroup(g.name, staying)
 		if g.dispatcher != nil {
 			s.handOver(g, wanted)
 			continue
@@ -50,6 +52,17 @@
 	}
 }
 
+// staying returns the members of which none has said that it leaves.
+func (s *State) staying() []snipeford.Member {
+	var out []snipeford.Member
+	for _, m := range s.members {
+		if !s.saysLeaving(m.Node) && (m.Node != s.settings.Member.Node || !s.leaving) {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
 // memoryOrService reports whether the platform's list still has the group.
 func (g *group) memoryOrService() bool { return g.memory > 0 || IsService(g.name) }
 
@@ -76,25 +89,56 @@
 		return
 	}
 	g.row = e.Row
-	g.dispatcher = s.newDispatcher(g.name, e.Row.Fence)
+	s.becomeHome(now, g)
+}
+
+// becomeHome starts to decide for a group, and tells the peers at once.
+func (s *State) becomeHome(now snipeford.Instant, g *group) {
+	g.dispatcher = s.newDispatcher(g.name, g.row.Fence)
 	s.refreshReplicas(now, g)
 	for _, r := range g.dispatcher.replicas {
 		s.emit(PollLoad{r.upstream})
-		s.emit(SweepReservations{r.upstream, e.Row.Fence})
+		s.emit(SweepReservations{r.upstream, g.row.Fence})
 	}
+	s.due.heartbeat = 0
 }
 
-// handOver releases a home that belongs elsewhere: its queue goes back to the
-// entries, its running calls end here.
+// handOver gives a home that belongs elsewhere to the wanted node: its queue
+// goes back to the entries, its running calls end here.
 func (s *State) handOver(g *group, wanted snipeford.NodeID) {
-	if wanted == "" || wanted == s.settings.Member.Node {
+	successor, ok := s.Member(wanted)
+	if !ok || wanted == s.settings.Member.Node {
 		return
 	}
 	row := g.row
-	row.Node, row.Incarnation = "", ""
-	s.emit(ReleaseHome{row})
+	row.Node, row.Incarnation = successor.Node, successor.Incarnation
+	row.Fence++
+	s.emit(HandHome{row})
 	s.loseHome(g)
-	g.row.Node = ""
+}
+
+// handedFor is how long heartbeats tell of a home that was handed over.
+const handedFor = 3 * time.Second
+
+// homeHanded tells all peers at once of a home that was handed over.
+func (s *State) homeHanded(now snipeford.Instant, row snipeford.HomeRow) {
+	s.homeRowRead(now, row)
+	s.handed = append(s.handed, handedHome{now, row})
+	s.due.heartbeat = 0
+}
+
+// handedLately returns the homes that were handed over lately.
+func (s *State) handedLately(now snipeford.Instant) []snipeford.HomeRow {
+	var kept []handedHome
+	var out []snipeford.HomeRow
+	for _, h := range s.handed {
+		if now.Sub(h.at) < handedFor {
+			kept = append(kept, h)
+			out = append(out, h.row)
+		}
+	}
+	s.handed = kept
+	return out
 }
 
 // loseHome stops deciding for a group. Its running calls go on to their end.
@@ -107,20 +151,18 @@
 	g.summary = snipeford.GroupSummary{}
 }
 
-func (s *State) homeReleased(name snipeford.Group) {
-	if g := s.groups[name]; g != nil && g.dispatcher == nil {
-		g.row.Node = ""
-	}
-}
-
-// leave starts the graceful stop: peers choose other homes, and this node
-// hands over at once.
+// leave starts the graceful stop: this node hands its homes over at once, and
+// peers choose it for none.
 func (s *State) leave() {
 	s.leaving = true
 	s.due = schedule{}
+	others := s.staying()
 	for _, g := range s.groups {
 		if g.dispatcher != nil {
-			s.handOver(g, "another")
+			s.handOver(g, home.OfGroup(g.name, others))
 		}
 	}
 }
+
+// saysLeaving reports whether a peer's last heartbeat said that it leaves.
+func (s *State) saysLeaving(n snipeford.NodeID) bool { return s.peers[n].beat.Leaving }
--- a/internal/control/reducer/membership.go
+++ b/internal/control/reducer/membership.go
@@ -64,12 +64,13 @@
 	s.members = s.view.Members()
 	sort.Slice(s.members, func(i, j int) bool { return s.members[i].Node < s.members[j].Node })
 	for _, row := range e.Homes {
-		s.homeRowRead(row)
+		s.homeRowRead(now, row)
 	}
 }
 
-// homeRowRead takes in who is a group's home.
-func (s *State) homeRowRead(row snipeford.HomeRow) {
+// homeRowRead takes in who is a group's home. A row that another node wrote may
+// name this one: it was handed the group.
+func (s *State) homeRowRead(now snipeford.Instant, row snipeford.HomeRow) {
 	g := s.ensureGroup(row.Group)
 	if row.Fence < g.row.Fence {
 		return
@@ -78,6 +79,9 @@
 	if g.dispatcher != nil && (row.Fence > g.dispatcher.fence || !s.isSelf(row)) {
 		s.loseHome(g)
 	}
+	if g.dispatcher == nil && s.isSelf(row) && !s.leaving && s.own.Held(now) {
+		s.becomeHome(now, g)
+	}
 }
 
 func (s *State) isSelf(row snipeford.HomeRow) bool {
@@ -92,6 +96,9 @@
 	for _, summary := range b.Groups {
 		s.summaryHeard(now, b.Member, summary)
 	}
+	for _, row := range b.Handed {
+		s.homeRowRead(now, row)
+	}
 	for _, w := range b.Wants {
 		s.lender(now, w.Organisation).Report(b.Node, w.Wanted, w.InForce)
 	}
@@ -143,7 +150,7 @@
 }
 
 func (s *State) sendHeartbeats(now snipeford.Instant) {
-	base := snipeford.Heartbeat{Member: s.self(), Configuration: s.configuration.Version, TableUp: s.tableUp}
+	base := snipeford.Heartbeat{Member: s.self(), Configuration: s.configuration.Version, TableUp: s.tableUp, Handed: s.handedLately(now)}
 	for _, g := range s.sortedHomes() {
 		if s.holds(now, g) {
 			base.Groups = append(base.Groups, g.summarize(now))
--- a/internal/control/reducer/state.go
+++ b/internal/control/reducer/state.go
@@ -52,15 +52,17 @@
 	calls         map[snipeford.CallID]*call
 	pending       []*call
 	// homed finds the group that dispatches a call.
-	homed     map[snipeford.CallID]*group
-	accounts  map[snipeford.Organisation]*limit.Account
-	lenders   map[snipeford.Organisation]*limit.Lender
-	outputs   map[snipeford.Organisation]float64
-	retries   retry.Budget
-	own       lease.Own
-	view      lease.View
-	members   []snipeford.Member
-	peers     map[snipeford.NodeID]peer
+	homed    map[snipeford.CallID]*group
+	accounts map[snipeford.Organisation]*limit.Account
+	lenders  map[snipeford.Organisation]*limit.Lender
+	outputs  map[snipeford.Organisation]float64
+	retries  retry.Budget
+	own      lease.Own
+	view     lease.View
+	members  []snipeford.Member
+	peers    map[snipeford.NodeID]peer
+	// handed holds the homes that this node gave away, with the instant.
+	handed    []handedHome
 	tableUp   bool
 	tableSeen snipeford.Instant
 	leaving   bool
@@ -68,6 +70,11 @@
 	out       []Effect
 }
 
+type handedHome struct {
+	at  snipeford.Instant
+	row snipeford.HomeRow
+}
+
 type peer struct {
 	heard snipeford.Instant
 	beat  snipeford.Heartbeat
@@ -149,8 +156,8 @@
 		s.rowsRead(now, e)
 	case HomeClaimed:
 		s.homeClaimed(now, e)
-	case HomeReleased:
-		s.homeReleased(e.Group)
+	case HomeHanded:
+		s.homeHanded(now, e.Row)
 	case HeartbeatHeard:
 		s.heartbeatHeard(now, e.Heartbeat)
 	case LeaveOrdered:
@@ -185,9 +192,16 @@
 	}
 }
 
-// Ready reports whether the node can serve: it has a configuration and knows
-// the upstreams.
-func (s *State) Ready() bool { return s.configuration.Version > 0 && s.listed && !s.leaving }
+// Ready reports whether the balancer shall send requests: the node has a
+// configuration, knows the upstreams and its peers, and is not the only one
+// that is cut off from the table.
+func (s *State) Ready(now snipeford.Instant) bool {
+	known := s.view.Known() || len(s.fresh(now)) > 0
+	return s.configuration.Version > 0 && s.listed && known && !s.leaving && !s.cutOff(now)
+}
+
+// cutOff reports whether the table answers others but not this node.
+func (s *State) cutOff(now snipeford.Instant) bool { return !s.tableUp && !s.tableDown(now) }
 
 // Configuration returns the configuration in force at this node.
 func (s *State) Configuration() snipeford.Configuration { return s.configuration }
--- a/internal/control/reducer/status.go
+++ b/internal/control/reducer/status.go
@@ -60,7 +60,7 @@
 		Node:          s.settings.Member.Node,
 		FailureDomain: s.settings.Member.Domain,
 		Incarnation:   s.settings.Member.Incarnation,
-		Ready:         s.Ready(),
+		Ready:         s.Ready(now),
 		Leaving:       s.leaving,
 		TableUp:       s.tableUp,
 		LeaseHeld:     s.own.Held(now),
--- a/internal/experiment/load/client.go
+++ b/internal/experiment/load/client.go
@@ -57,8 +57,23 @@
 	Resumes int
 }
 
+// Patience of callers: beyond it they give a request up themselves.
+const (
+	completionPatience = 122 * time.Second
+	servicePatience    = 7 * time.Second
+)
+
+func patience(k arrival.Kind) time.Duration {
+	if k == arrival.Completion {
+		return completionPatience
+	}
+	return servicePatience
+}
+
 // Do runs one request to its end.
 func (c *Client) Do(ctx context.Context, q arrival.Request) Result {
+	ctx, cancel := context.WithTimeout(ctx, patience(q.Kind))
+	defer cancel()
 	start := c.Timer.Now()
 	var r Result
 	switch q.Kind {
--- a/internal/fleet/peer/convert.go
+++ b/internal/fleet/peer/convert.go
@@ -52,6 +52,16 @@
 	for _, g := range b.Grants {
 		out.Grants = append(out.Grants, &message.ShareGrant{Organisation: string(g.Organisation), Share: g.Share})
 	}
+	for _, h := range b.Handed {
+		out.Handed = append(out.Handed, &message.HandedHome{
+			Model:       string(h.Group.Model),
+			Domain:      string(h.Group.Domain),
+			Node:        string(h.Node),
+			Incarnation: string(h.Incarnation),
+			Fence:       uint64(h.Fence),
+			RowVersion:  h.RowVersion,
+		})
+	}
 	return out
 }
 
@@ -81,5 +91,14 @@
 	for _, g := range m.GetGrants() {
 		out.Grants = append(out.Grants, snipeford.ShareGrant{Organisation: snipeford.Organisation(g.GetOrganisation()), Share: g.GetShare()})
 	}
+	for _, h := range m.GetHanded() {
+		out.Handed = append(out.Handed, snipeford.HomeRow{
+			Group:       snipeford.Group{Model: snipeford.Model(h.GetModel()), Domain: snipeford.FailureDomain(h.GetDomain())},
+			Node:        snipeford.NodeID(h.GetNode()),
+			Incarnation: snipeford.Incarnation(h.GetIncarnation()),
+			Fence:       snipeford.Fence(h.GetFence()),
+			RowVersion:  h.GetRowVersion(),
+		})
+	}
 	return out
 }
--- a/internal/operate/node/executor.go
+++ b/internal/operate/node/executor.go
@@ -58,8 +58,8 @@
 		once(&x.reading, func() { x.readRows(ctx) })
 	case reducer.ClaimHome:
 		go x.claim(ctx, e)
-	case reducer.ReleaseHome:
-		go x.release(ctx, e)
+	case reducer.HandHome:
+		go x.hand(ctx, e)
 	case reducer.SendHeartbeat:
 		go x.heartbeat(ctx, e)
 	case reducer.ReadUpstreams:
@@ -122,11 +122,14 @@
 	x.node.loop.Send(reducer.HomeClaimed{Row: row, Won: won})
 }
 
-func (x *executor) release(ctx context.Context, e reducer.ReleaseHome) {
-	if _, _, err := x.keeper.SetHome(ctx, e.Row); err != nil {
-		x.node.log.Warn("home not released", "Group", e.Row.Group.String(), "Error", err)
+func (x *executor) hand(ctx context.Context, e reducer.HandHome) {
+	row, won, err := x.keeper.SetHome(ctx, e.Row)
+	if err != nil || !won {
+		x.node.log.Warn("home not handed over", "Group", e.Row.Group.String(), "Error", err)
+		return
 	}
-	x.node.loop.Send(reducer.HomeReleased{Group: e.Row.Group})
+	x.node.log.Info("home handed over", "Group", row.Group.String(), "To", row.Node, "Fence", row.Fence)
+	x.node.loop.Send(reducer.HomeHanded{Row: row})
 }
 
 func (x *executor) heartbeat(ctx context.Context, e reducer.SendHeartbeat) {
--- a/internal/operate/node/handler.go
+++ b/internal/operate/node/handler.go
@@ -43,7 +43,7 @@
 
 func (n *Node) ready() bool {
 	ready := false
-	n.loop.Ask(func(s *reducer.State) { ready = s.Ready() })
+	n.loop.Ask(func(s *reducer.State) { ready = s.Ready(n.timer.Now()) })
 	return ready && !n.leaving.Load()
 }
 
--- a/internal/operate/node/node.go
+++ b/internal/operate/node/node.go
@@ -181,7 +181,7 @@
 	if err != nil {
 		return err
 	}
-	peers, err := n.listen(group, n.settings.PeerAddress, n.peerHandler())
+	peers, err := n.listen(group, n.settings.PeerListenAddress, n.peerHandler())
 	if err != nil {
 		return err
 	}
--- a/internal/operate/settings/settings.go
+++ b/internal/operate/settings/settings.go
@@ -24,14 +24,17 @@
 	CallerAddress   string
 	PeerAddress     string
 	OperatorAddress string
-	Table           string
-	VMList          string
-	PeerKey         string
-	OperatorKey     string
-	TraceFile       string
-	LogLevel        string
-	Queue           string
-	Route           string
+	// PeerListenAddress is where the node listens for peers, where that differs
+	// from PeerAddress, at which they reach it.
+	PeerListenAddress string
+	Table             string
+	VMList            string
+	PeerKey           string
+	OperatorKey       string
+	TraceFile         string
+	LogLevel          string
+	Queue             string
+	Route             string
 	// LeaveDelay is how long a leaving node still takes requests while the
 	// balancer learns of it.
 	LeaveDelay time.Duration
@@ -56,6 +59,7 @@
 	address("CallerAddress", func(s *Settings) *string { return &s.CallerAddress }),
 	address("PeerAddress", func(s *Settings) *string { return &s.PeerAddress }),
 	address("OperatorAddress", func(s *Settings) *string { return &s.OperatorAddress }),
+	optional(address("PeerListenAddress", func(s *Settings) *string { return &s.PeerListenAddress })),
 	service("Table", func(s *Settings) *string { return &s.Table }),
 	service("VMList", func(s *Settings) *string { return &s.VMList }),
 	key("PeerKey", func(s *Settings) *string { return &s.PeerKey }),
@@ -100,6 +104,11 @@
 	}}
 }
 
+func optional(f document.Field[Settings]) document.Field[Settings] {
+	f.Required = false
+	return f
+}
+
 func service(name string, at func(*Settings) *string) document.Field[Settings] {
 	return document.Field[Settings]{Name: name, Allowed: `a URL such as "http://10.0.0.9:7000"`, Required: true, Set: func(s *Settings, v document.Value) error {
 		w, err := v.Word()
@@ -150,6 +159,9 @@
 }
 
 func (s *Settings) fill() {
+	if s.PeerListenAddress == "" {
+		s.PeerListenAddress = s.PeerAddress
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = log.InfoLevel.String()
 	}
--- a/internal/policy/limit/lender.go
+++ b/internal/policy/limit/lender.go
@@ -16,11 +16,14 @@
 	smoothing = 0.3
 )
 
-// Floor returns the share that a node may use before anything was lent to it.
-func Floor(nodes int) float64 { return floorPart / float64(max(nodes, 1)) }
+// Even returns the share that a node uses before anything was lent to it.
+func Even(nodes int) float64 { return 1 / float64(max(nodes, 1)) }
+
+// floor returns the share that a node keeps without asking.
+func floor(nodes int) float64 { return floorPart * Even(nodes) }
 
 // CutOff returns the share of a node that has lost touch with the lender.
-func CutOff(last float64, nodes int) float64 { return min(last, 1/float64(max(nodes, 1))) }
+func CutOff(last float64, nodes int) float64 { return min(last, Even(nodes)) }
 
 // borrower is what a lender knows of one node. InForce is the highest share
 // that the node may be using.
@@ -67,7 +70,7 @@
 func (l *Lender) Grant(now snipeford.Instant, n snipeford.NodeID, nodes int) float64 {
 	b, ok := l.borrowers[n]
 	if !ok {
-		return Floor(nodes)
+		return Even(nodes)
 	}
 	if now.Sub(l.since) < settle {
 		return b.inForce
@@ -80,9 +83,9 @@
 	return target
 }
 
-// free returns what no node uses. Nodes that were not heard keep their floor.
+// free returns what no node uses. Nodes that were not heard use an even share.
 func (l *Lender) free(nodes int) float64 {
-	sum := float64(max(0, nodes-len(l.borrowers))) * Floor(nodes)
+	sum := float64(max(0, nodes-len(l.borrowers))) * Even(nodes)
 	for _, b := range l.borrowers {
 		sum += b.inForce
 	}
@@ -94,11 +97,11 @@
 	for _, other := range l.borrowers {
 		all += other.wanted
 	}
-	floor := Floor(nodes)
+	least := floor(nodes)
 	if all == 0 {
-		return 1 / float64(max(nodes, 1))
+		return Even(nodes)
 	}
-	return floor + (1-floor*float64(nodes))*b.wanted/all
+	return least + (1-least*float64(nodes))*b.wanted/all
 }
 
 // Borrows reports whether the node has reported any use.
--- a/node.go
+++ b/node.go
@@ -65,4 +65,6 @@
 	Groups        []GroupSummary
 	Wants         []ShareWant
 	Grants        []ShareGrant
+	// Handed names the groups that the node gave to others lately.
+	Handed []HomeRow
 }
