Keep serving through outages, dead engines and light load

Ruled out: a floor for the pace of half the nominal rate (wrong for long prompts at 130%), renewing every second (390 nodes would write 390 rows a second). Change: the pace is learnt by the tick; a failed replica pauses from 250 ms to 4 s; cut off means that a peer which would have noticed an outage says up; homes go on for one renewal after an outage and renew at once. Waits are taken for three times the estimate, not twice. Each of the two reducer tests fails without its change.

--- a/cmd/standin/rig/rig.go
+++ b/cmd/standin/rig/rig.go
@@ -7,6 +7,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -394,16 +396,31 @@
 	return nil
 }
 
+// Ports of rigs lie below those that systems hand out to connections, so that
+// no connection of another rig takes one between its choice and its use.
+const (
+	firstPort = 20_000
+	lastPort  = 30_000
+)
+
+var nextPort atomic.Int64
+
 // freeAddresses returns n loopback addresses that nobody listens at.
 func freeAddresses(n int) ([]string, error) {
 	var out []string
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+	for tries := 0; len(out) < n; tries++ {
+		if tries > lastPort-firstPort {
+			return nil, errors.New("no free ports")
+		}
+		span := int64(lastPort - firstPort)
+		port := firstPort + (nextPort.Add(1)+int64(os.Getpid())*97)%span
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, fmt.Errorf("find address: %w", err)
+			continue
 		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
+		l.Close()
+		out = append(out, address)
 	}
 	return out, nil
 }
--- a/internal/control/reducer/group.go
+++ b/internal/control/reducer/group.go
@@ -60,6 +60,8 @@
 	// learned rate at which a band is served while some of it waits.
 	sent [snipeford.BandCount]snipeford.Tokens
 	pace [snipeford.BandCount]snipeford.TokensPerSecond
+	// pressed counts the seconds for which some of a band has waited.
+	pressed [snipeford.BandCount]int
 	// usage is each organisation's offered work, halved every usageHalfLife.
 	usage map[snipeford.Organisation]*usage
 	// claimed holds the replicas that a prompt larger than one engine waits for.
@@ -76,6 +78,9 @@
 	// foreign counts requests that an earlier home dispatched.
 	foreign int
 	own     int
+	// failures counts failed attempts in a row; they pause the replica.
+	failures    int
+	pausedUntil snipeford.Instant
 	// longs counts longer prompts before their first token, and longWork is
 	// the estimate of their remaining prompt work as of worked.
 	longs    int
@@ -199,6 +204,9 @@
 	r.Running = r.own + r.foreign
 	r.Window = r.window.Limit()
 	r.Cold = r.window.State() == snipeford.StateCold
+	if now < r.pausedUntil {
+		r.Window = 0
+	}
 }
 
 // offered takes a call into the group's queue, or sends it back.
@@ -250,6 +258,10 @@
 func (g *group) late(now snipeford.Instant, w *snipeford.Waiting) time.Duration {
 	d := g.dispatcher
 	pace := d.pace[w.Band()]
+	if d.pressed[w.Band()] < leastPressed {
+		// What was served lately is what came, not what could be served.
+		pace = max(pace, g.summarize(now).Rate)
+	}
 	ahead := d.queue.Ahead(w)
 	if ahead == 0 || pace <= 0 {
 		return 0
@@ -258,8 +270,12 @@
 	return max(0, waitMargin*wait-w.GiveUp.Sub(now))
 }
 
+// leastPressed is for how many seconds a band has to have waited before its
+// pace says what the group can do.
+const leastPressed = 3
+
 // waitMargin is by how much a wait is taken to be longer than estimated.
-const waitMargin = 2
+const waitMargin = 3
 
 // dispatch sends what the policies place now.
 func (s *State) dispatch(now snipeford.Instant, g *group) {
@@ -267,7 +283,6 @@
 	if d.queue.Len() == 0 || !s.holds(now, g) {
 		return
 	}
-	s.arrange(now, d)
 	for _, r := range d.replicas {
 		r.refresh(now)
 	}
@@ -304,8 +319,10 @@
 // retryPause is the time after which a retry without budget is offered again.
 const retryPause = 200 * time.Millisecond
 
-// arrange lets the router move its split with the load.
-func (s *State) arrange(now snipeford.Instant, d *dispatcher) {
+// arrange learns from the last second and lets the router move its split with
+// the load. It runs by the tick, after the queue was served, so that what still
+// waits is what could not be served.
+func (d *dispatcher) arrange(now snipeford.Instant) {
 	elapsed := now.Sub(d.arranged)
 	if elapsed < arrangeEvery {
 		return
@@ -318,9 +335,14 @@
 	}
 	for band, tokens := range d.sent {
 		rate := snipeford.TokensPerSecond(float64(tokens) / elapsed.Seconds())
-		if rate > d.pace[band] || d.queue.Backlog(snipeford.LengthBand(band)) > 0 {
+		waits := d.queue.Backlog(snipeford.LengthBand(band)) > 0
+		if rate > d.pace[band] || waits {
 			d.pace[band] += paceSmoothing * (rate - d.pace[band])
 		}
+		d.pressed[band]++
+		if !waits {
+			d.pressed[band] = 0
+		}
 		d.sent[band] = 0
 	}
 	d.router.Arrange(d.views, d.load)
@@ -487,6 +509,7 @@
 	}
 	expected := time.Duration(float64(run.w.Prompt)/float64(firstRate)*float64(time.Second)) + firstTokenGrace
 	last.window.Succeeded(now, took, expected)
+	last.failures, last.pausedUntil = 0, 0
 	s.dispatch(now, g)
 }
 
@@ -547,6 +570,7 @@
 			continue
 		}
 		r.window.Failed(now)
+		r.pause(now)
 	}
 	unsent := e.End == snipeford.EndUnsent
 	w.Offset = max(w.Offset, e.Offset)
@@ -565,6 +589,18 @@
 	s.emit(Bounce{e.Call, g.name, snipeford.CauseUpstreamFailed, outcome, comeBackSoon})
 }
 
+// Pauses of a replica after failed attempts, doubled by each in a row.
+const (
+	firstPause   = 250 * time.Millisecond
+	longestPause = 4 * time.Second
+)
+
+// pause keeps new work from a replica whose attempt failed.
+func (r *replica) pause(now snipeford.Instant) {
+	r.pausedUntil = now.Add(min(firstPause<<min(r.failures, 10), longestPause))
+	r.failures++
+}
+
 // retryWait is the least time that a retried call may wait in the queue.
 const retryWait = 15 * time.Second
 
--- a/internal/control/reducer/homes.go
+++ b/internal/control/reducer/homes.go
@@ -19,7 +19,7 @@
 	if g.dispatcher == nil {
 		return false
 	}
-	return s.own.Held(now) || s.tableDown(now)
+	return s.own.Held(now) || now < s.heldOver || s.tableDown(now)
 }
 
 // until returns when a send under a home of this node must not start any more.
@@ -30,6 +30,9 @@
 	if s.own.Held(now) {
 		return s.own.Until()
 	}
+	if now < s.heldOver {
+		return s.heldOver
+	}
 	return now.Add(lease.TTL - lease.Margin)
 }
 
--- a/internal/control/reducer/membership.go
+++ b/internal/control/reducer/membership.go
@@ -49,7 +49,16 @@
 	}
 }
 
+// tableAnswered notes that the table answers. After an outage the homes go on
+// until their leases are renewed: others watch a lease anew from their own first
+// read, so that nobody takes over before.
 func (s *State) tableAnswered(now snipeford.Instant) {
+	if !s.tableUp {
+		if s.tableDown(now) {
+			s.heldOver = now.Add(lease.Renewal)
+		}
+		s.due.renewal = 0
+	}
 	s.tableUp = true
 	s.tableSeen = now
 }
--- a/internal/control/reducer/reducer_test.go
+++ b/internal/control/reducer/reducer_test.go
@@ -215,3 +215,37 @@
 		t.Errorf("got %d retries of 400 offered calls, want at most a tenth and one burst, %d", got, want)
 	}
 }
+
+func TestLightLoadIsNoOverload(t *testing.T) {
+	s := alone(t, engineOne)
+	warm(s, engineOne)
+	now := second
+	for i := range 20 {
+		now += second / 2
+		id := snipeford.CallID(fmt.Sprint("call-", i))
+		c := newCall(id, "M", 1_000)
+		c.GiveUp, c.Deadline = now+2*second, now+60*second
+		s.Apply(now, Ticked{})
+		mustFind[Dispatch](t, s.Apply(now, Offered{c, groupOf(engineOne)}))
+		s.Apply(now, AttemptEnded{id, snipeford.EndDone, 10})
+	}
+	// The engine breaks off a call; the next one waits for its pause.
+	c := newCall("broken", "M", 1_000)
+	s.Apply(now, Offered{c, groupOf(engineOne)})
+	s.Apply(now, AttemptEnded{"broken", snipeford.EndBroken, 0})
+	next := newCall("next", "M", 4_000)
+	next.GiveUp = now + 2*second
+	wantNone[Bounce](t, s.Apply(now, Offered{next, groupOf(engineOne)}))
+}
+
+func TestFailedReplicaPauses(t *testing.T) {
+	s := alone(t, engineOne, engineTwo)
+	warm(s, engineOne)
+	warm(s, engineTwo)
+	first := mustFind[Dispatch](t, s.Apply(second, Offered{newCall("c", "M", 1_000), groupOf(engineOne)}))
+	s.Apply(second, AttemptEnded{"c", snipeford.EndUnsent, 0})
+	again := mustFind[Dispatch](t, s.Apply(second+second/10, Ticked{}))
+	if got, not := again.Parts[0].Upstream.ID, first.Parts[0].Upstream.ID; got == not {
+		t.Errorf("got %s again, want the other replica", got)
+	}
+}
--- a/internal/control/reducer/state.go
+++ b/internal/control/reducer/state.go
@@ -65,9 +65,11 @@
 	handed    []handedHome
 	tableUp   bool
 	tableSeen snipeford.Instant
-	leaving   bool
-	due       schedule
-	out       []Effect
+	// heldOver is until when homes go on after an outage of the table.
+	heldOver snipeford.Instant
+	leaving  bool
+	due      schedule
+	out      []Effect
 }
 
 type handedHome struct {
@@ -182,6 +184,7 @@
 		}
 		s.expire(now, g)
 		s.dispatch(now, g)
+		g.dispatcher.arrange(now)
 	}
 	s.retryPending(now)
 }
@@ -200,8 +203,23 @@
 	return s.configuration.Version > 0 && s.listed && known && !s.leaving && !s.cutOff(now)
 }
 
-// cutOff reports whether the table answers others but not this node.
-func (s *State) cutOff(now snipeford.Instant) bool { return !s.tableUp && !s.tableDown(now) }
+// cutOff reports whether the table answers others but not this node: a peer
+// that would have noticed an outage by now says that the table answers it.
+func (s *State) cutOff(now snipeford.Instant) bool {
+	if s.tableUp {
+		return false
+	}
+	for _, p := range s.fresh(now) {
+		if p.beat.TableUp && p.heard.Sub(s.tableSeen) > outageNoticed {
+			return true
+		}
+	}
+	return false
+}
+
+// outageNoticed is within what time after the table's last answer every node
+// has noticed an outage and told its peers.
+const outageNoticed = 3500 * time.Millisecond
 
 // Configuration returns the configuration in force at this node.
 func (s *State) Configuration() snipeford.Configuration { return s.configuration }
