Write the operators' pages, cases of the command line and tests of the keepers

Cause: nothing but running processes told what a verb prints, and the orders' keeper had no history check. Change: DESIGN, GLOSSARY and OPERATING pages whose command output is written by make docs and compared in the tests; folders of command, input and expected output; tests of rules, settings, bodies, streams and orders, a porcupine check of one key at three nodes over a table that loses answers, fuzz targets; a refused connection exits with 1, as nothing was sent; standin slopes.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,12 @@
 	./bin/standin bench
 	$(GO) test -run '^$$' -bench . -benchmem ./internal/control/reducer
 	./bin/standin path
+
+prove: build ## run the faults that the promises have to stand, on separate processes
+	./bin/standin prove
+
+slopes: build ## measure what control costs as nodes and replicas grow
+	./bin/standin slopes
+
+docs: ## write the commands' outputs in the pages and cases anew
+	$(GO) test ./cmd/snipeford -count=1 -args -update
--- a/cmd/standin/verb/verb.go
+++ b/cmd/standin/verb/verb.go
@@ -20,7 +20,7 @@
 
 // Table lists the verbs.
 var Table = []subcommands.Command{
-	&tableVerb{}, &vmsVerb{}, &engineVerb{}, &serviceVerb{}, &loadVerb{}, &demoVerb{}, &benchVerb{}, &pathVerb{}, &proveVerb{},
+	&tableVerb{}, &vmsVerb{}, &engineVerb{}, &serviceVerb{}, &loadVerb{}, &demoVerb{}, &benchVerb{}, &pathVerb{}, &proveVerb{}, &slopesVerb{},
 }
 
 // Run parses the process's arguments and runs the verb. The result is the
--- a/internal/operate/command/verb.go
+++ b/internal/operate/command/verb.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -97,6 +98,10 @@
 // fail prints an error and returns the exit code that says what it means.
 func fail(err error) subcommands.ExitStatus {
 	fmt.Fprintln(os.Stderr, "snipeford:", err)
+	var network *net.OpError
+	if errors.As(err, &network) && network.Op == "dial" {
+		return ExitFailed
+	}
 	var remote twirp.Error
 	if errors.As(err, &remote) {
 		return exitOf(remote.Code())
--- /dev/null
+++ b/internal/request/prompt/completion_test.go
@@ -0,0 +1,55 @@
+package prompt
+
+import (
+	"strings"
+	"testing"
+
+	"snipeford"
+)
+
+func TestParse(t *testing.T) {
+	for _, c := range []struct{ name, body, field string }{
+		{"no JSON", "hello", ""},
+		{"no object", `"text"`, ""},
+		{"empty", "", ""},
+		{"null", "null", ""},
+		{"a negative length", `{"model":"m","prompt":"p","max_tokens":-5}`, "max_tokens"},
+		{"a text as length", `{"model":"m","prompt":"p","max_tokens":"many"}`, "max_tokens"},
+		{"no model", `{"prompt":"p"}`, "model"},
+		{"no prompt", `{"model":"m"}`, "prompt"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			_, refused := Parse([]byte(c.body))
+			if refused == nil {
+				t.Fatal("got no refusal, want one")
+			}
+			if refused.Status != 400 || refused.Outcome != snipeford.NotRun || refused.Field != c.field {
+				t.Errorf("got %+v, want status 400, NotRun and field %q", refused, c.field)
+			}
+		})
+	}
+}
+
+func TestBlocks(t *testing.T) {
+	shared := strings.Repeat("s", 2*BlockBytes)
+	a, b := Blocks(shared+strings.Repeat("a", BlockBytes)), Blocks(shared+strings.Repeat("b", BlockBytes))
+	if a[1] != b[1] || a[2] == b[2] {
+		t.Errorf("got %x and %x, want two blocks in common and the third not", a, b)
+	}
+	if got := len(Blocks(strings.Repeat("x", 100*BlockBytes))); got != HashedBlocks {
+		t.Errorf("got %d blocks, want %d", got, HashedBlocks)
+	}
+}
+
+// FuzzParse checks that no body makes the parser panic, and that what it takes
+// has a prompt.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(`{"model":"m","prompt":"p","max_tokens":5,"stream":true}`))
+	f.Add([]byte(`{"model":1}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		c, refused := Parse(body)
+		if refused == nil && (c.Prompt == "" || c.Allowed(100) <= 0) {
+			t.Errorf("got %+v taken", c)
+		}
+	})
+}
--- a/internal/rule/file/rules.go
+++ b/internal/rule/file/rules.go
@@ -20,7 +20,7 @@
 	Parse func(file string, e document.Entry, into *snipeford.Rules) document.Faults
 }
 
-// Table lists the kinds of rules.
+// kinds lists the kinds of rules.
 var kinds = []kind{organisationKind, modelKind, serviceKind}
 
 // Usage returns a line for each kind of rule.
