--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The verbs a maintainer uses. "make" lists them.
 GO ?= go
 
-.PHONY: help build check fmt lint test demo bench prove slopes docs
+.PHONY: help build check fmt lint test demo bench prove slopes docs generate
 
 help: ## list the verbs
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/^([a-z]+):.*## /\1\t/' | expand -t 12
@@ -16,13 +16,14 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
-check: build lint ## check formatting, lint and examples
+check: build lint ## check formatting, lint, examples and, where its tools are there, generated code
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	./bin/snipeford check -settings examples/quindio/node.toml -rules examples/quindio/rules.toml
 	./bin/snipeford check -settings examples/uwimana/node.toml -rules examples/uwimana/rules.toml
+	@if command -v protoc protoc-gen-go protoc-gen-twirp >/dev/null; then $(MAKE) -s generate && git diff --exit-code --stat -- internal/fleet/message; fi
 
 test: ## pass all tests
-	$(GO) test ./...
+	$(GO) test -race ./...
 
 demo: build ## run a whole small fleet and send it a mixed load
 	./bin/standin demo
@@ -40,3 +41,6 @@
 
 docs: ## write the commands' outputs in the pages and cases anew
 	$(GO) test ./cmd/snipeford -count=1 -args -update
+
+generate: ## generate the messages anew; needs protoc, protoc-gen-go and protoc-gen-twirp
+	protoc --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative internal/fleet/message/message.proto
--- /dev/null
+++ b/cmd/standin/prove/edge.go
@@ -0,0 +1,188 @@
+package prove
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"snipeford/cmd/standin/rig"
+	"snipeford/internal/experiment/arrival"
+	"snipeford/internal/request/entry"
+)
+
+var edgeScenes = []Scene{
+	{Name: "edge-bad-input", Promise: "bad input gets a 4xx with the field named, and the node goes on serving", Fault: "no key, no JSON, negative length, unknown model, too large", Run: edgeBadInput},
+	{Name: "edge-secrets-and-spans", Promise: "no key and no prompt text is logged; a request has a span for each hop", Fault: "a load, then the logs and traces are read", Change: func(p *rig.Plan) { p.TraceFiles = true }, Run: edgeSecretsAndSpans},
+}
+
+// badInput is one request and what has to come back.
+type badInput struct {
+	path, key, body string
+	status          int
+	field           string
+}
+
+var badInputs = []badInput{
+	{"/v1/completions", "", `{"model":"OilReader","prompt":"p"}`, 401, "Authorization"},
+	{"/v1/completions", "wrong", `{"model":"OilReader","prompt":"p"}`, 401, "Authorization"},
+	{"/v1/completions", "example-key-CareDesk", `no JSON`, 400, ""},
+	{"/v1/completions", "example-key-CareDesk", `{"model":"OilReader","prompt":"p","max_tokens":-1}`, 400, "max_tokens"},
+	{"/v1/completions", "example-key-CareDesk", `{"model":"OilReader"}`, 400, "prompt"},
+	{"/v1/completions", "example-key-CareDesk", `{"model":"None","prompt":"p"}`, 404, "model"},
+	{"/v1/completions", "example-key-CareDesk", strings.Repeat("x", entry.LongestBody+1), 413, "body"},
+	{"/services/None/x", "example-key-CareDesk", ``, 404, "name"},
+	{"/services/Orders/dispatch", "example-key-CareDesk", `order`, 400, "Idempotency-Key"},
+}
+
+func edgeBadInput(ctx context.Context, s *Stage) error {
+	var faults []error
+	for _, in := range badInputs {
+		faults = append(faults, s.wantRefused(ctx, in))
+	}
+	for _, path := range []string{"/twirp/snipeford.message.Administration/Status"} {
+		faults = append(faults, wantStatus(ctx, "http://"+s.Targets[0].Operator+path, 403))
+	}
+	r := s.Client.Do(ctx, arrival.Request{Number: 1, Organisation: "CareDesk", Prompt: 1_000, MaxOutput: 32})
+	if !r.Whole {
+		faults = append(faults, fmt.Errorf("a good request after them was not served: %s", r.Cause))
+	}
+	s.Notef("%d bad requests", len(badInputs)+1)
+	return errors.Join(faults...)
+}
+
+func (s *Stage) wantRefused(ctx context.Context, in badInput) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Balancer.Pick()+in.path, strings.NewReader(in.body))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	if in.key != "" {
+		req.Header.Set("Authorization", "Bearer "+in.key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("send %s: %w", in.path, err)
+	}
+	defer resp.Body.Close()
+	var body struct {
+		Error struct {
+			Cause, Field, Outcome string
+		}
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		return fmt.Errorf("%s answered no JSON: %w", in.path, err)
+	}
+	if resp.StatusCode != in.status || body.Error.Field != in.field || body.Error.Outcome != "NotRun" || body.Error.Cause == "" {
+		return fmt.Errorf("%s: got %d %+v, want %d, field %q and NotRun", in.path, resp.StatusCode, body.Error, in.status, in.field)
+	}
+	return nil
+}
+
+func wantStatus(ctx context.Context, url string, want int) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, strings.NewReader("{}"))
+	if err != nil {
+		return fmt.Errorf("build request: %w", err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("send request: %w", err)
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return fmt.Errorf("read answer: %w", err)
+	}
+	if resp.StatusCode != want {
+		return fmt.Errorf("%s: got %d, want %d", url, resp.StatusCode, want)
+	}
+	return nil
+}
+
+// hops are the spans that a completion has to leave.
+var hops = []string{"entry", "home.queue", "dispatch", "upstream.engine"}
+
+// secrets must not stand in any log: keys, and what the load's prompts say.
+var secrets = []string{"example-key-", rig.OperatorKey, "request 1 of", "mineral oil"}
+
+func edgeSecretsAndSpans(ctx context.Context, s *Stage) error {
+	results, err := s.during(ctx, s.mix(20, 4*time.Second, 0.3), func() error { return nil })
+	faults := []error{s.wantWhole(ctx, results, err)}
+	for _, i := range s.AllNodes() {
+		faults = append(faults, s.Signal(rig.NodeName(i), syscall.SIGTERM))
+	}
+	for _, i := range s.AllNodes() {
+		<-s.Ended(rig.NodeName(i))
+	}
+	byTrace := map[string]map[string]bool{}
+	for _, i := range s.AllNodes() {
+		base := filepath.Join(s.Plan.Directory, rig.NodeName(i))
+		faults = append(faults, wantNoSecrets(base+".log"), readSpans(base+".trace", byTrace))
+	}
+	whole := 0
+	for _, names := range byTrace {
+		if hasAll(names) {
+			whole++
+		}
+	}
+	s.Notef("%d traces, %d with all hops", len(byTrace), whole)
+	if whole == 0 {
+		faults = append(faults, errors.New("no trace has a span for each hop"))
+	}
+	return errors.Join(faults...)
+}
+
+func wantNoSecrets(path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return fmt.Errorf("read log: %w", err)
+	}
+	for _, secret := range secrets {
+		if strings.Contains(string(text), secret) {
+			return fmt.Errorf("%s holds %q", filepath.Base(path), secret)
+		}
+	}
+	return nil
+}
+
+// readSpans collects the names of each trace's spans.
+func readSpans(path string, into map[string]map[string]bool) error {
+	file, err := os.Open(path)
+	if err != nil {
+		return fmt.Errorf("open traces: %w", err)
+	}
+	defer file.Close()
+	decoder := json.NewDecoder(file)
+	for {
+		var span struct {
+			Name        string
+			SpanContext struct{ TraceID string }
+		}
+		if err := decoder.Decode(&span); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("decode span: %w", err)
+		}
+		names := into[span.SpanContext.TraceID]
+		if names == nil {
+			names = map[string]bool{}
+			into[span.SpanContext.TraceID] = names
+		}
+		names[span.Name] = true
+	}
+}
+
+func hasAll(names map[string]bool) bool {
+	for _, hop := range hops {
+		if !names[hop] {
+			return false
+		}
+	}
+	return true
+}
--- a/cmd/standin/verb/path.go
+++ b/cmd/standin/verb/path.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/subcommands"
@@ -45,6 +46,9 @@
 // pathPrompt is the length of the prompts on the measured path.
 const pathPrompt snipeford.Tokens = 1_000
 
+// pathOrganisations send in turn, so that none is at its limit.
+var pathOrganisations = []snipeford.Organisation{"CareDesk", "MarketStalls", "SupplierReview", "RetailAudit", "HotelPereira"}
+
 // pathCallers is how many callers send at once for the rate.
 const pathCallers = 16
 
@@ -87,8 +91,12 @@
 	go balancer.Run(ctx)
 	r.Timer.Sleep(ctx, time.Second)
 	direct := &engine.Client{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: pathCallers}}, Timer: r.Timer}
-	request := func(i int) arrival.Request {
-		return arrival.Request{Number: i, Organisation: "CareDesk", Prompt: pathPrompt, MaxOutput: 8}
+	// Each request has a prompt of its own, so that no cache helps one side.
+	number := 0
+	request := func() arrival.Request {
+		number++
+		organisation := pathOrganisations[number%len(pathOrganisations)]
+		return arrival.Request{Number: number, Organisation: organisation, Prompt: pathPrompt, MaxOutput: 8}
 	}
 	status, err := r.Status(ctx, 0)
 	if err != nil {
@@ -96,15 +104,24 @@
 	}
 	fence := status.Groups[0].Fence
 	through, alone := load.NewLatency(), load.NewLatency()
-	for i := range v.requests {
-		alone.Add(generateAlone(ctx, direct, r.Timer, r.Upstreams[0], fence, request(i)))
-		through.Add(client.Do(ctx, request(i)).FirstToken)
+	for range v.requests {
+		alone.Add(generateAlone(ctx, direct, r.Timer, r.Upstreams[0], fence, request()))
+		through.Add(client.Do(ctx, request()).FirstToken)
 	}
 	fmt.Printf("first token, one caller: engine alone p50 %s p99 %s; through one node p50 %s p99 %s; added p50 %s\n",
 		alone.At(50), alone.At(99), through.At(50), through.At(99), through.At(50)-alone.At(50))
-	aloneRate := rate(r.Timer, v.requests, func(i int) { generateAlone(ctx, direct, r.Timer, r.Upstreams[0], fence, request(i)) })
-	throughRate := rate(r.Timer, v.requests, func(i int) { client.Do(ctx, request(i)) })
-	fmt.Printf("%d callers: engine alone %.0f requests/s; through one node %.0f requests/s (%.2f)\n", pathCallers, aloneRate, throughRate, throughRate/aloneRate)
+	requests := make([]arrival.Request, 2*v.requests)
+	for i := range requests {
+		requests[i] = request()
+	}
+	aloneRate := rate(r.Timer, v.requests, func(i int) { generateAlone(ctx, direct, r.Timer, r.Upstreams[0], fence, requests[i]) })
+	var refused atomic.Int64
+	throughRate := rate(r.Timer, v.requests, func(i int) {
+		if !client.Do(ctx, requests[v.requests+i]).Whole {
+			refused.Add(1)
+		}
+	})
+	fmt.Printf("%d callers: engine alone %.0f requests/s; through one node %.0f requests/s (%.2f), %d not served\n", pathCallers, aloneRate, throughRate, throughRate/aloneRate, refused.Load())
 	return subcommands.ExitSuccess
 }
 
--- a/cmd/standin/verb/slopes.go
+++ b/cmd/standin/verb/slopes.go
@@ -49,6 +49,7 @@
 	}
 	fmt.Println("\n| replicas in one node's homes | state MB | tick us | B a replica |")
 	fmt.Println("|---|---|---|---|")
+	buildHome(25)
 	for _, replicas := range []int{25, 250, 1_350, 5_400} {
 		homeSlope(replicas)
 	}
@@ -113,11 +114,8 @@
 	return out, err
 }
 
-// homeSlope measures the state and the tick of one node that is the home of
-// that many replicas.
-func homeSlope(replicas int) {
-	t := &timer.Service{}
-	before := heap()
+// buildHome returns the state of a node that is the home of that many replicas.
+func buildHome(replicas int) *reducer.State {
 	s := reducer.New(reducer.Settings{Member: snipeford.Member{Node: "node-1", Domain: "domain-0"}, Queue: "Fair", Route: "MovingSplit", Alone: true})
 	groups := max(1, replicas/8)
 	var list []snipeford.Upstream
@@ -129,6 +127,15 @@
 		})
 	}
 	s.Apply(0, reducer.UpstreamsListed{Upstreams: list})
+	return s
+}
+
+// homeSlope measures the state and the tick of one node that is the home of
+// that many replicas.
+func homeSlope(replicas int) {
+	t := &timer.Service{}
+	before := heap()
+	s := buildHome(replicas)
 	used := heap() - before
 	const ticks = 50
 	start := t.Now()
