Kill nodes at chosen instants of an order, and run every verb

Cause: kills came at random instants under load, so that no run said at which step of an order a node died; the verbs had been run offline only. Change: scenes that hold an order before the insert, after it, after the dispatch and before the answer, kill its node there and repeat the order elsewhere; a scene that runs each verb with good and bad input against running nodes.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); if [ -n "$$unformatted" ]; then echo "not formatted: $$unformatted"; exit 1; fi
 	./bin/snipeford check -settings examples/quindio/node.toml -rules examples/quindio/rules.toml
 	./bin/snipeford check -settings examples/uwimana/node.toml -rules examples/uwimana/rules.toml
-	@if command -v protoc protoc-gen-go protoc-gen-twirp >/dev/null; then $(MAKE) -s generate && git diff --exit-code --stat -- internal/fleet/message; fi
+	@if command -v protoc >/dev/null && command -v protoc-gen-go >/dev/null && command -v protoc-gen-twirp >/dev/null; then $(MAKE) -s generate && git diff --exit-code --stat -- internal/fleet/message; fi
 
 test: ## pass all tests
 	$(GO) test -race ./...
--- a/cmd/standin/prove/order.go
+++ b/cmd/standin/prove/order.go
@@ -28,6 +28,7 @@
 	{Name: "order-same-key-everywhere", Promise: orderPromise, Fault: "the same key at six nodes at once", Run: orderSameKey},
 	{Name: "order-other-body", Promise: "a reused key with another body is refused", Fault: "the same key with another body", Run: orderOtherBody},
 	{Name: "order-late-answer", Promise: orderPromise, Fault: "the application answers after the caller's deadline", Run: orderLateAnswer},
+	{Name: "order-killed-at-instants", Promise: orderPromise, Fault: "the node is killed before the insert, after it, after the dispatch, and before the answer", Run: orderKilledAtInstants},
 	{Name: "order-connection-lost", Promise: orderPromise, Fault: "the application runs the order and drops the connection", Run: orderConnectionLost},
 }
 
@@ -168,7 +169,12 @@
 
 // post sends an order by hand and returns the status and the outcome.
 func (s *Stage) post(ctx context.Context, key, body string) (int, snipeford.Outcome, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Balancer.Pick()+"/services/Orders/dispatch", strings.NewReader(body))
+	return s.postTo(ctx, s.Balancer.Pick(), key, body)
+}
+
+// postTo sends an order by hand to one node.
+func (s *Stage) postTo(ctx context.Context, node, key, body string) (int, snipeford.Outcome, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node+"/services/Orders/dispatch", strings.NewReader(body))
 	if err != nil {
 		return 0, "", fmt.Errorf("build order: %w", err)
 	}
@@ -249,3 +255,77 @@
 	faults = append(faults, s.serviceFault(ctx, fault.Fault{}), s.wantPost(ctx, "lost-0", "one crate", 409, snipeford.Unknown), s.checkOrders(ctx, nil))
 	return errors.Join(faults...)
 }
+
+// instant is a place on an order's way at which its node is killed: a fault
+// holds the order there. Ran is how often the order then runs in all.
+type instant struct {
+	name    string
+	service bool
+	fault   fault.Fault
+	least   int
+}
+
+var instants = []instant{
+	{"before-insert", false, fault.Fault{Kind: fault.Delay, Method: "POST", Prefix: "/write", Milliseconds: holdMilliseconds}, 0},
+	{"after-insert", false, fault.Fault{Kind: fault.Late, Method: "POST", Prefix: "/write", Milliseconds: holdMilliseconds}, 0},
+	{"after-dispatch", true, fault.Fault{Kind: fault.Delay, Prefix: "/dispatch", Milliseconds: holdMilliseconds}, 0},
+	{"before-answer", true, fault.Fault{Kind: fault.Late, Prefix: "/dispatch", Milliseconds: holdMilliseconds}, 1},
+}
+
+// holdMilliseconds is how long an order is held; its node is killed meanwhile.
+const holdMilliseconds = 900
+
+func orderKilledAtInstants(ctx context.Context, s *Stage) error {
+	var faults []error
+	for i, at := range instants {
+		faults = append(faults, s.killAt(ctx, i, at))
+	}
+	ledger, err := s.Ledger(ctx)
+	if err != nil {
+		return err
+	}
+	s.Notef("ran after a kill at %s %d, %s %d, %s %d, %s %d times", instants[0].name, ledger[instants[0].name],
+		instants[1].name, ledger[instants[1].name], instants[2].name, ledger[instants[2].name], instants[3].name, ledger[instants[3].name])
+	for _, at := range instants {
+		if n := ledger[at.name]; n > 1 || n < at.least {
+			faults = append(faults, fmt.Errorf("%s: ran %d times, want %d to 1", at.name, n, at.least))
+		}
+	}
+	return errors.Join(faults...)
+}
+
+// killAt kills the node that holds an order, and repeats the order elsewhere.
+func (s *Stage) killAt(ctx context.Context, node int, at instant) error {
+	set := s.tableFault
+	if at.service {
+		set = s.serviceFault
+	}
+	if err := set(ctx, at.fault); err != nil {
+		return err
+	}
+	sent := make(chan struct{})
+	go func() {
+		defer close(sent)
+		// The connection breaks with the node.
+		_, _, _ = s.postTo(ctx, s.Targets[node].Caller, at.name, "one crate")
+	}()
+	s.pause(ctx, holdMilliseconds*time.Millisecond/2)
+	if err := s.Kill(rig.NodeName(node)); err != nil {
+		return err
+	}
+	<-sent
+	s.pause(ctx, holdMilliseconds*time.Millisecond)
+	if err := set(ctx, fault.Fault{}); err != nil {
+		return err
+	}
+	for range 2 {
+		status, outcome, err := s.postTo(ctx, s.Targets[node+1].Caller, at.name, "one crate")
+		if err != nil {
+			return err
+		}
+		if status != http.StatusOK && outcome != snipeford.Unknown {
+			return fmt.Errorf("%s: the repeated order got %d %s", at.name, status, outcome)
+		}
+	}
+	return nil
+}
--- a/cmd/standin/prove/scene.go
+++ b/cmd/standin/prove/scene.go
@@ -31,7 +31,7 @@
 }
 
 // Table lists the scenes.
-var Table = concat(orderScenes, answerScenes, memoryScenes, upstreamScenes, stopScenes, configurationScenes, limitScenes, edgeScenes)
+var Table = concat(orderScenes, answerScenes, memoryScenes, upstreamScenes, stopScenes, configurationScenes, limitScenes, edgeScenes, operatorScenes)
 
 func concat(lists ...[]Scene) []Scene {
 	var out []Scene
