Read as a newcomer: one table for all families, dead state out, hung segments

Cause: the queue and route families held the same table twice; the entry kept two fields that nothing read; comments named the dispatcher a home; an engine that hung in the middle of a segment held a long prompt until its deadline. Ruled out: one timeout for all segments (they differ by a hundred times).

--- a/internal/control/reducer/entry.go
+++ b/internal/control/reducer/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -30,8 +31,6 @@
 type call struct {
 	snipeford.Call
 	account   *limit.Account
-	group     snipeford.Group
-	forwarded bool
 	bounces   int
 	avoid     snipeford.Group
 	notBefore snipeford.Instant
@@ -47,45 +46,43 @@
 	return snipeford.NotRun
 }
 
+// arrived admits a call under its organisation's limits and places it.
 func (s *State) arrived(now snipeford.Instant, c snipeford.Call) {
 	s.retries.Offer()
-	if refusal := s.checkCall(c); refusal != nil {
-		s.emit(Refuse{c.ID, *refusal})
+	if refused := s.checkCall(c); refused != nil {
+		s.emit(Refuse{c.ID, *refused})
 		return
 	}
 	account := s.account(now, c.Organisation)
 	cause, wait := account.Admit(now, c.Prompt+s.expectedOutput(c))
 	if cause != "" {
-		s.emit(Refuse{c.ID, refusal(http.StatusTooManyRequests, cause, snipeford.NotRun, wait, "organisation is at its limit")})
+		s.emit(Refuse{c.ID, *refusal(http.StatusTooManyRequests, cause, snipeford.NotRun, wait, "organisation is at its limit")})
 		return
 	}
-	k := &call{Call: c, account: account}
+	// A resumed call ran before, elsewhere.
+	k := &call{Call: c, account: account, mayHaveRun: c.Offset > 0}
 	s.calls[c.ID] = k
 	s.place(now, k)
 }
 
-func refusal(status int, cause snipeford.Cause, outcome snipeford.Outcome, wait time.Duration, text string) snipeford.Refusal {
-	return snipeford.Refusal{Status: status, Cause: cause, Outcome: outcome, RetryAfter: wait, Message: text}
+func refusal(status int, cause snipeford.Cause, outcome snipeford.Outcome, wait time.Duration, text string) *snipeford.Refusal {
+	return &snipeford.Refusal{Status: status, Cause: cause, Outcome: outcome, RetryAfter: wait, Message: text}
 }
 
 // checkCall refuses what can never be served.
 func (s *State) checkCall(c snipeford.Call) *snipeford.Refusal {
 	if s.configuration.Version == 0 {
-		r := refusal(http.StatusServiceUnavailable, snipeford.CauseNotReady, snipeford.NotRun, comeBackSoon, "no configuration in force yet")
-		return &r
+		return refusal(http.StatusServiceUnavailable, snipeford.CauseNotReady, snipeford.NotRun, comeBackSoon, "no configuration in force yet")
 	}
 	rule, ok := s.configuration.Rules.Organisations[c.Organisation]
 	if !ok {
-		r := refusal(http.StatusUnauthorized, snipeford.CauseUnknownKey, snipeford.NotRun, 0, "organisation is not in the rules")
-		return &r
+		return refusal(http.StatusUnauthorized, snipeford.CauseUnknownKey, snipeford.NotRun, 0, "organisation is not in the rules")
 	}
 	if rule.LongestPrompt > 0 && c.Prompt > rule.LongestPrompt {
-		r := refusal(http.StatusRequestEntityTooLarge, snipeford.CausePromptTooLong, snipeford.NotRun, 0, "prompt is longer than the organisation may send")
-		return &r
+		return refusal(http.StatusRequestEntityTooLarge, snipeford.CausePromptTooLong, snipeford.NotRun, 0, "prompt is longer than the organisation may send")
 	}
 	if s.largerThanAll(c) {
-		r := refusal(http.StatusRequestEntityTooLarge, snipeford.CauseTooLarge, snipeford.NotRun, 0, "prompt is larger than the largest group of engines")
-		return &r
+		return refusal(http.StatusRequestEntityTooLarge, snipeford.CauseTooLarge, snipeford.NotRun, 0, "prompt is larger than the largest group of engines")
 	}
 	return nil
 }
@@ -102,6 +99,7 @@
 	return known
 }
 
+// expectedOutput returns the expected rest of a call's answer.
 func (s *State) expectedOutput(c snipeford.Call) snipeford.Tokens {
 	share, ok := s.outputs[c.Organisation]
 	if !ok {
@@ -134,7 +132,6 @@
 		s.pending = append(s.pending, k)
 		return
 	}
-	k.group, k.forwarded = g.name, true
 	g.sent += k.Prompt
 	g.sentCalls++
 	s.emit(Forward{k.ID, g.name, g.row.Node, k.Offset})
@@ -164,6 +161,7 @@
 	return best
 }
 
+// spillOf returns by how much longer a call may wait at its first choice.
 func spillOf(k *call) snipeford.Tokens {
 	if snipeford.BandOf(k.Prompt) == snipeford.BandShort {
 		return shortSpill
@@ -171,6 +169,8 @@
 	return spill
 }
 
+// preference ranks the groups of a model for a call, the highest first: by its
+// prefix, so that calls with one prefix meet, or else this node's own domain.
 func (s *State) preference(k *call, g *group) uint64 {
 	if len(k.Prefix) > 0 {
 		return xxhash.Sum64String(g.name.String()) ^ (k.Prefix[0] * 0x9e3779b97f4a7c15)
@@ -192,12 +192,7 @@
 }
 
 func (s *State) domainOut(d snipeford.FailureDomain) bool {
-	for _, out := range s.configuration.OutDomains {
-		if out == d {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.configuration.OutDomains, d)
 }
 
 // retryPending places again the calls that found no home.
@@ -217,6 +212,7 @@
 	}
 }
 
+// bounced places a call that a home sent back again, or refuses it.
 func (s *State) bounced(now snipeford.Instant, e Bounced) {
 	k := s.calls[e.Call]
 	if k == nil {
@@ -226,13 +222,12 @@
 	k.Offset = max(k.Offset, e.Offset)
 	k.mayHaveRun = k.mayHaveRun || e.Outcome != snipeford.NotRun
 	if refused := s.finalBounce(k, e); refused != nil {
-		s.refuseCall(k, *refused)
+		s.refuseCall(k, refused)
 		return
 	}
 	if k.mayHaveRun {
 		k.GiveUp = max(k.GiveUp, min(now.Add(retryWait), k.Deadline))
 	}
-	k.forwarded = false
 	k.avoid = e.Group
 	k.notBefore = retry.At(now, k.bounces, k.Seed)
 	s.place(now, k)
@@ -247,7 +242,7 @@
 	r := refusal(status, e.Cause, k.outcome(), max(e.RetryAfter, comeBackSoon), "not served")
 	if k.mayHaveRun && !k.Idempotent {
 		r.RetryAfter = 0
-		return &r
+		return r
 	}
 	switch e.Cause {
 	case snipeford.CauseNotHome, snipeford.CauseNodeLeaving, snipeford.CauseNoUpstream:
@@ -260,14 +255,15 @@
 			return nil
 		}
 	}
-	return &r
+	return r
 }
 
-func (s *State) refuseCall(k *call, r snipeford.Refusal) {
+func (s *State) refuseCall(k *call, r *snipeford.Refusal) {
 	s.ended(k.ID)
-	s.emit(Refuse{k.ID, r})
+	s.emit(Refuse{k.ID, *r})
 }
 
+// ended counts a call out of its organisation's limits.
 func (s *State) ended(id snipeford.CallID) {
 	k := s.calls[id]
 	if k == nil {
--- a/internal/control/reducer/group.go
+++ b/internal/control/reducer/group.go
@@ -1,7 +1,6 @@
 package reducer
 
 import (
-	"strings"
 	"time"
 
 	"snipeford"
@@ -27,13 +26,12 @@
 )
 
 // group is the replicas of one model in one failure domain, as this node sees
-// them. The home is set only while this node is the group's home.
+// them. The dispatcher is set only while this node is the group's home.
 type group struct {
 	name    snipeford.Group
 	row     snipeford.HomeRow
 	summary snipeford.GroupSummary
-	heard   snipeford.Instant
-	// sent is the work that this entry sent since the last summary.
+	// sent and sentCalls count what this entry sent since the last summary.
 	sent      snipeford.Tokens
 	sentCalls int
 	// memory is the replicas' memory together, by the platform's list.
@@ -41,7 +39,7 @@
 	dispatcher *dispatcher
 }
 
-// home is the state by which this node decides for a group.
+// dispatcher is the state by which a home decides for its group.
 type dispatcher struct {
 	fence    snipeford.Fence
 	queue    snipeford.Queue
@@ -51,6 +49,8 @@
 	views    []*snipeford.Replica
 	running  map[snipeford.CallID]*running
 	calls    map[snipeford.CallID]snipeford.Call
+	// arriving is the offered work of each band since arranged, and load the
+	// learned rate of it.
 	arriving [snipeford.BandCount]snipeford.Tokens
 	load     [snipeford.BandCount]snipeford.TokensPerSecond
 	arranged snipeford.Instant
@@ -69,12 +69,12 @@
 
 func (s *State) newDispatcher(name snipeford.Group, fence snipeford.Fence) *dispatcher {
 	queueName, routeName := s.settings.Queue, s.settings.Route
-	if strings.HasPrefix(string(name.Model), "service/") {
+	if IsService(name) {
 		routeName = "LeastOutstanding"
 	}
 	// The settings were checked at the start, so that both names are known.
-	q, _ := queue.New(queueName)
-	r, _ := route.New(routeName)
+	q, _ := queue.Table.New(queueName)
+	r, _ := route.Table.New(routeName)
 	return &dispatcher{
 		fence:   fence,
 		queue:   q,
--- a/internal/control/reducer/membership.go
+++ b/internal/control/reducer/membership.go
@@ -103,7 +103,7 @@
 		s.emit(FetchConfiguration{b.Member})
 	}
 	for _, summary := range b.Groups {
-		s.summaryHeard(now, b.Member, summary)
+		s.summaryHeard(b.Member, summary)
 	}
 	for _, row := range b.Handed {
 		s.homeRowRead(now, row)
@@ -118,7 +118,7 @@
 
 // summaryHeard takes in a home's summary. A higher fence than the one known
 // from the table names a new home before the next scan does.
-func (s *State) summaryHeard(now snipeford.Instant, m snipeford.Member, summary snipeford.GroupSummary) {
+func (s *State) summaryHeard(m snipeford.Member, summary snipeford.GroupSummary) {
 	g := s.ensureGroup(summary.Group)
 	if summary.Fence < g.row.Fence {
 		return
@@ -129,7 +129,7 @@
 			s.loseHome(g)
 		}
 	}
-	g.summary, g.heard, g.sent, g.sentCalls = summary, now, 0, 0
+	g.summary, g.sent, g.sentCalls = summary, 0, 0
 }
 
 // fresh returns the peers that were heard lately.
--- a/internal/control/reducer/status.go
+++ b/internal/control/reducer/status.go
@@ -2,7 +2,6 @@
 
 import (
 	"sort"
-	"time"
 
 	"snipeford"
 )
@@ -131,6 +130,3 @@
 	sort.Slice(out, func(i, j int) bool { return out[i].Node < out[j].Node })
 	return out
 }
-
-// TableSilent returns for how long the table has not answered.
-func (s *State) TableSilent(now snipeford.Instant) time.Duration { return now.Sub(s.tableSeen) }
--- a/internal/emulate/batch/engine.go
+++ b/internal/emulate/batch/engine.go
@@ -383,9 +383,6 @@
 	e.free(j)
 }
 
-// CachedBlocks returns how many leading blocks of the prefix are cached.
-func (e *Engine) CachedBlocks(prefix []uint64) int { return e.cache.peek(prefix) }
-
 // Evicted returns the cache blocks that were dropped since the last call.
 func (e *Engine) Evicted() []uint64 {
 	out := e.cache.evicted
--- a/internal/experiment/bench/neighbour.go
+++ b/internal/experiment/bench/neighbour.go
@@ -6,6 +6,7 @@
 
 	"snipeford"
 	"snipeford/internal/experiment/arrival"
+	"snipeford/internal/experiment/load"
 	"snipeford/internal/experiment/virtual"
 )
 
@@ -43,14 +44,14 @@
 }
 
 type lightResult struct {
-	all     latency
+	all     *load.Latency
 	refused int
 }
 
 func (d Deployment) lightLatency(p Policy, requests []arrival.Request, length time.Duration) lightResult {
 	setup := d.setup(p, requests)
 	setup.Rules = map[snipeford.Organisation]snipeford.OrganisationRule{"light": {Weight: 1}, "heavy": {Weight: 1}}
-	out := lightResult{all: newLatency()}
+	out := lightResult{all: load.NewLatency()}
 	for _, o := range virtual.New(setup).Run(length + deadline) {
 		switch {
 		case o.Request.Organisation != "light" || o.Request.At < warmUp:
--- a/internal/experiment/bench/scenario.go
+++ b/internal/experiment/bench/scenario.go
@@ -167,8 +167,3 @@
 func (b *Bands) slowdown(band snipeford.LengthBand, percent float64) float64 {
 	return float64(b.Slowdown[band].At(percent).Microseconds()) / slowdownScale
 }
-
-// latency is a short name for what the tables collect.
-type latency = *load.Latency
-
-func newLatency() latency { return load.NewLatency() }
--- a/internal/experiment/virtual/attempt.go
+++ b/internal/experiment/virtual/attempt.go
@@ -182,7 +182,6 @@
 func (f *Fleet) loseJobs(h *host, lost []*batch.Job) {
 	for _, j := range lost {
 		if a := h.jobs[j]; a != nil {
-			h.lost++
 			f.endAttempt(a, snipeford.EndBroken)
 		}
 	}
--- a/internal/experiment/virtual/fleet.go
+++ b/internal/experiment/virtual/fleet.go
@@ -57,7 +57,6 @@
 	calls    map[snipeford.CallID]*call
 	outcomes []Outcome
 	version  snipeford.Version
-	out      []snipeford.FailureDomain
 	// Dispatches counts attempts, for the retry bound.
 	Dispatches int
 	// shared counts blocks that could have been hits, and hottest the requests
@@ -75,7 +74,6 @@
 	busy    bool
 	stopped bool
 	jobs    map[*batch.Job]*attempt
-	lost    int
 }
 
 // call is one request on its way.
@@ -129,7 +127,6 @@
 // Configure puts the next configuration into force, with failure domains out.
 func (f *Fleet) Configure(out []snipeford.FailureDomain) {
 	f.version++
-	f.out = out
 	c := snipeford.Configuration{Version: f.version, OutDomains: out}
 	c.Rules.Organisations = f.setup.Rules
 	c.Rules.Models = map[snipeford.Model]snipeford.ModelRule{model: {}}
@@ -148,9 +145,6 @@
 // State returns the reducer's state.
 func (f *Fleet) State() *reducer.State { return f.state }
 
-// Engine returns the model of one engine.
-func (f *Fleet) Engine(id snipeford.UpstreamID) *batch.Engine { return f.engines[id].engine }
-
 // Upstreams returns all engines' names.
 func (f *Fleet) Upstreams() []snipeford.Upstream { return f.list }
 
--- a/internal/operate/settings/settings.go
+++ b/internal/operate/settings/settings.go
@@ -72,16 +72,16 @@
 		s.LogLevel, err = v.OneOf("debug", "info", "warn", "error")
 		return err
 	}},
-	{Name: "Queue", Allowed: "one of " + queue.Names(), Set: func(s *Settings, v document.Value) (err error) {
+	{Name: "Queue", Allowed: "one of " + queue.Table.Names(), Set: func(s *Settings, v document.Value) (err error) {
 		s.Queue, err = v.Word()
-		if _, bad := queue.New(s.Queue); bad != nil {
+		if _, bad := queue.Table.New(s.Queue); bad != nil {
 			return bad
 		}
 		return err
 	}},
-	{Name: "Route", Allowed: "one of " + route.Names(), Set: func(s *Settings, v document.Value) (err error) {
+	{Name: "Route", Allowed: "one of " + route.Table.Names(), Set: func(s *Settings, v document.Value) (err error) {
 		s.Route, err = v.Word()
-		if _, bad := route.New(s.Route); bad != nil {
+		if _, bad := route.Table.New(s.Route); bad != nil {
 			return bad
 		}
 		return err
--- a/internal/policy/queue/policy.go
+++ b/internal/policy/queue/policy.go
@@ -1,42 +1,17 @@
 // Package queue holds the policies that order a group's waiting requests, one
-// a file. A policy is a name, a usage line and a constructor.
+// a file.
 package queue
 
 import (
-	"fmt"
-	"strings"
-
 	"snipeford"
+	"snipeford/internal/policy/family"
 )
 
 // Policy is one member of the family.
-type Policy struct {
-	Name  string
-	Usage string
-	New   func() snipeford.Queue
-}
+type Policy = family.Member[snipeford.Queue]
 
 // Table lists the policies.
-var Table = []Policy{fifoPolicy, shortestPolicy, fairPolicy}
-
-// Names returns the policies' names, for messages.
-func Names() string {
-	var out []string
-	for _, p := range Table {
-		out = append(out, p.Name)
-	}
-	return strings.Join(out, ", ")
-}
-
-// New returns a queue of the named policy.
-func New(name string) (snipeford.Queue, error) {
-	for _, p := range Table {
-		if p.Name == name {
-			return p.New(), nil
-		}
-	}
-	return nil, fmt.Errorf("queue policy %q is not one of the table", name)
-}
+var Table = family.Table[snipeford.Queue]{fifoPolicy, shortestPolicy, fairPolicy}
 
 // entries is the part that all policies share: a set of waiting requests in
 // some order.
--- a/internal/request/dispatch/desk.go
+++ b/internal/request/dispatch/desk.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"errors"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -32,6 +33,9 @@
 	Service *service.Request
 }
 
+// errLeaseLapsed ends an attempt whose node may no longer be the home.
+var errLeaseLapsed = errors.New("lease lapsed before the send")
+
 // Desk runs the calls whose group has its home here.
 type Desk struct {
 	Loop    *loop.Loop
--- a/internal/request/dispatch/errors.go
+++ /dev/null
@@ -1,5 +0,0 @@
-package dispatch
-
-import "errors"
-
-var errLeaseLapsed = errors.New("lease lapsed before the send")
--- a/internal/upstream/engine/client.go
+++ b/internal/upstream/engine/client.go
@@ -95,6 +95,8 @@
 type Client struct {
 	HTTP  *http.Client
 	Timer *timer.Service
+	// PrefillGrace is allowed for a segment beside its work; zero means 10 s.
+	PrefillGrace time.Duration
 }
 
 // Result is the end of an attempt at an engine.
--- a/internal/upstream/engine/segments.go
+++ b/internal/upstream/engine/segments.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"snipeford"
 	"snipeford/internal/request/stream"
@@ -12,6 +13,14 @@
 // renews or releases, so that a dead home loses it no memory for good.
 const reservationSeconds = 120
 
+// Times of one segment's computation: an engine that takes longer is given up.
+const (
+	// prefillGrace is allowed for any segment, beside its work.
+	prefillGrace = 10 * time.Second
+	// slowestPrefill is the least speed that counts as alive.
+	slowestPrefill snipeford.TokensPerSecond = 5_000
+)
+
 // Segment is one engine's part of a prompt that is larger than its memory.
 type Segment struct {
 	Upstream snipeford.Upstream
@@ -36,7 +45,7 @@
 	last := len(segments) - 1
 	for i, s := range segments[:last] {
 		p := Prefill{g.Attempt, s.Prompt, g.Handle, g.Priority, g.Fence}
-		handle, err := c.Prefill(ctx, s.Upstream, p)
+		handle, err := c.prefill(ctx, s, p)
 		if err != nil {
 			err = fmt.Errorf("prefill at %s: %w", s.Upstream.ID, err)
 			return Result{End: snipeford.EndBroken, Next: g.Offset, Err: err}
@@ -48,6 +57,18 @@
 	return c.Generate(ctx, segments[last].Upstream, g, pass)
 }
 
+// prefill computes one segment within the time that its length allows.
+func (c *Client) prefill(ctx context.Context, s Segment, p Prefill) (string, error) {
+	grace := c.PrefillGrace
+	if grace == 0 {
+		grace = prefillGrace
+	}
+	allowed := grace + time.Duration(float64(s.Memory)/float64(slowestPrefill)*float64(time.Second))
+	ctx, cancel := context.WithTimeout(ctx, allowed)
+	defer cancel()
+	return c.Prefill(ctx, s.Upstream, p)
+}
+
 // releaseAll frees the reservations even where the call was cancelled.
 func (c *Client) releaseAll(ctx context.Context, segments []Segment, g Generate) {
 	ctx = context.WithoutCancel(ctx)
--- a/rules.go
+++ b/rules.go
@@ -1,6 +1,9 @@
 package snipeford
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // OrganisationRule is what operators allow one organisation.
 type OrganisationRule struct {
@@ -56,15 +59,5 @@
 
 // IsOut reports whether operators have taken the upstream out.
 func (c *Configuration) IsOut(u Upstream) bool {
-	for _, d := range c.OutDomains {
-		if d == u.Domain {
-			return true
-		}
-	}
-	for _, id := range c.OutUpstreams {
-		if id == u.ID {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(c.OutDomains, u.Domain) || slices.Contains(c.OutUpstreams, u.ID)
 }
--- a/upstream.go
+++ b/upstream.go
@@ -39,9 +39,10 @@
 	Cold        bool
 }
 
-// Outcomes of one attempt at an upstream.
+// AttemptEnd says how one attempt at an upstream ended.
 type AttemptEnd string
 
+// Ends of an attempt.
 const (
 	// EndDone means that the whole answer arrived.
 	EndDone AttemptEnd = "Done"
@@ -92,8 +93,5 @@
 	return [...]string{"1-4k", "4-32k", "32-100k", ">100k"}[b]
 }
 
-// Timeouts shared by callers of engines.
-const (
-	// StallTimeout bounds the silence of an upstream between two signs of life.
-	StallTimeout = 5 * time.Second
-)
+// StallTimeout bounds the silence of an engine between two signs of life.
+const StallTimeout = 5 * time.Second
