Say NotRun of an order only where no row stands under its key

Cause: found in reading: where the insert conflicted and the row could not be read (the table failed in between), the caller was told NotRun, though an earlier request with the key may have run. Ruled out: reading first (one more read an order). Change: after a conflict the refusal says Unknown until a read shows no row. Conclusion: NotRun speaks of what stands in the table as well.

--- a/internal/request/order/keeper.go
+++ b/internal/request/order/keeper.go
@@ -90,8 +90,11 @@
 	return t, nil, nil
 }
 
+// begin inserts the order's row, or finds out what an earlier request with the
+// key came to. A row that stands there but can't be read may have run.
 func (k *Keeper) begin(ctx context.Context, t *Ticket) (*stream.Response, error) {
 	replace := uint64(0)
+	outcome := snipeford.NotRun
 	resolveUntil := k.Timer.Now().Add(resolveFor)
 	waitUntil := k.Timer.Now().Add(waitFor)
 	for {
@@ -100,10 +103,16 @@
 			t.version = version
 			return nil, nil
 		}
+		if errors.Is(err, snipeford.ErrConflict) {
+			outcome = snipeford.Unknown
+		}
 		row, readErr := k.read(ctx, t.name, err)
+		if readErr == nil && row.Version == 0 {
+			outcome = snipeford.NotRun
+		}
 		if readErr != nil || row.Version == 0 {
 			if k.Timer.Now() >= resolveUntil || !k.Timer.Sleep(ctx, retryEvery) {
-				return nil, refuse(http.StatusServiceUnavailable, snipeford.CauseTableDown, snipeford.NotRun, "table did not answer; the order was not sent")
+				return nil, refuse(http.StatusServiceUnavailable, snipeford.CauseTableDown, outcome, "table did not answer; this request was not sent")
 			}
 			replace = 0
 			continue
--- a/internal/request/order/keeper_test.go
+++ b/internal/request/order/keeper_test.go
@@ -24,9 +24,10 @@
 	sequence uint64
 	random   *rand.Rand
 	// loses is the part of the writes whose answers are lost, half of them
-	// after they took effect; down fails everything.
-	loses float64
-	down  bool
+	// after they took effect; down fails everything, unread the reads.
+	loses  float64
+	down   bool
+	unread bool
 }
 
 func newRows(seed uint64, loses float64) *rows {
@@ -36,7 +37,7 @@
 func (r *rows) Get(_ context.Context, key string) (snipeford.Row, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.down {
+	if r.down || r.unread {
 		return snipeford.Row{}, snipeford.ErrUnavailable
 	}
 	return r.rows[key], nil
@@ -132,6 +133,14 @@
 		_, _, err := newFleet(table, 1).node(0).Begin(t.Context(), name, "hash", "a")
 		wantRefusal(t, err, snipeford.CauseTableDown, snipeford.NotRun)
 	})
+	t.Run("a row that stands there and can't be read is not said not to have run", func(t *testing.T) {
+		table := newRows(1, 0)
+		f := newFleet(table, 2)
+		begin(t, f.node(0), "a")
+		table.unread = true
+		_, _, err := f.node(1).Begin(t.Context(), name, "hash", "b")
+		wantRefusal(t, err, snipeford.CauseTableDown, snipeford.Unknown)
+	})
 	t.Run("an abandoned order may be taken over", func(t *testing.T) {
 		f := newFleet(newRows(1, 0), 2)
 		ticket := begin(t, f.node(0), "a")
