--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 	./bin/standin path
 
 prove: build ## run the faults that the promises have to stand, on separate processes
+	$(GO) test -count=1 -run TestProperties ./internal/control/reducer -rapid.checks=3000 -rapid.seed=7
 	./bin/standin prove
 
 slopes: build ## measure what control costs as nodes and replicas grow
