--- /dev/null
+++ b/internal/control/placer/loop.go
@@ -0,0 +1,117 @@
+package placer
+
+import (
+	"context"
+	"sync"
+
+	"snipeford"
+	"snipeford/internal/control/timer"
+)
+
+// queueSize bounds the events that wait for the control goroutine.
+const queueSize = 1_024
+
+// Loop is the control goroutine.
+type Loop struct {
+	Node  snipeford.NodeID
+	Timer *timer.Service
+	// Deliver brings an answer to another node. It must not block.
+	Deliver func(Granted)
+
+	state  State
+	events chan Event
+	asks   chan func()
+	done   chan struct{}
+
+	mu      sync.Mutex
+	waiting map[snipeford.RequestID]chan snipeford.Placement
+}
+
+// New returns a loop of the node; Run starts it.
+func New(node snipeford.NodeID, t *timer.Service) *Loop {
+	return &Loop{
+		Node: node, Timer: t,
+		events:  make(chan Event, queueSize),
+		asks:    make(chan func()),
+		done:    make(chan struct{}),
+		waiting: map[snipeford.RequestID]chan snipeford.Placement{},
+	}
+}
+
+// Send queues an event. After the loop's end it is dropped.
+func (l *Loop) Send(e Event) {
+	select {
+	case l.events <- e:
+	case <-l.done:
+	}
+}
+
+// Place decides here and waits for the answer. A refusal is returned where ctx
+// or the loop has ended.
+func (l *Loop) Place(ctx context.Context, ask snipeford.PlaceAsk) snipeford.Placement {
+	answer := make(chan snipeford.Placement, 1)
+	l.mu.Lock()
+	l.waiting[ask.Call] = answer
+	l.mu.Unlock()
+	l.Send(Asked{ask})
+	select {
+	case p := <-answer:
+		return p
+	case <-ctx.Done():
+	case <-l.done:
+	}
+	l.mu.Lock()
+	delete(l.waiting, ask.Call)
+	l.mu.Unlock()
+	l.Send(Ended{Service: ask.Service, Call: ask.Call})
+	return snipeford.Placement{Call: ask.Call, Refused: true}
+}
+
+// Placed returns the running requests of this node, nil after the loop's end.
+func (l *Loop) Placed() []snipeford.PlacedCall {
+	answer := make(chan []snipeford.PlacedCall, 1)
+	select {
+	case l.asks <- func() { answer <- l.state.Placed(l.Timer.Now(), l.Node) }:
+		return <-answer
+	case <-l.done:
+		return nil
+	}
+}
+
+// Run applies events until ctx ends.
+func (l *Loop) Run(ctx context.Context) error {
+	defer close(l.done)
+	ticks := l.Timer.Every(ctx, tickEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticks:
+			l.apply(Ticked{})
+		case e := <-l.events:
+			l.apply(e)
+		case ask := <-l.asks:
+			ask()
+		}
+	}
+}
+
+func (l *Loop) apply(e Event) {
+	for _, g := range l.state.Apply(l.Timer.Now(), e) {
+		if g.Node == l.Node {
+			l.answer(g.Placement)
+			continue
+		}
+		l.Deliver(g)
+	}
+}
+
+func (l *Loop) answer(p snipeford.Placement) {
+	l.mu.Lock()
+	waiting, ok := l.waiting[p.Call]
+	delete(l.waiting, p.Call)
+	l.mu.Unlock()
+	if ok {
+		waiting <- p
+	}
+}
--- /dev/null
+++ b/internal/control/placer/state.go
@@ -0,0 +1,164 @@
+// Package placer runs the placement of requests to model engines: one reducer
+// over all events, with effects as data, in one control goroutine.
+package placer
+
+import (
+	"slices"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/control/directory"
+	"snipeford/internal/policy/placement"
+)
+
+// Event is one thing that happened.
+type Event interface{ event() }
+
+// Asked wants a place for a request of Ask.Node.
+type Asked struct{ Ask snipeford.PlaceAsk }
+
+// Adopted says that a request of this node was placed elsewhere.
+type Adopted struct{ Call snipeford.PlacedCall }
+
+// Began says that a request's first event came.
+type Began struct {
+	Service snipeford.ServiceName
+	Call    snipeford.RequestID
+}
+
+// Ended says that a request is over. Fault may name the upstream that failed
+// it, where that is not the one it ran on.
+type Ended struct {
+	Service snipeford.ServiceName
+	Call    snipeford.RequestID
+	Failed  bool
+	Fault   snipeford.UpstreamID
+}
+
+// Synced brings all running requests of another node.
+type Synced struct {
+	Node  snipeford.NodeID
+	Calls []snipeford.PlacedCall
+}
+
+// NodeLost says that another node has not been heard of for long.
+type NodeLost struct{ Node snipeford.NodeID }
+
+// Viewed brings a new view of the directory.
+type Viewed struct{ View *directory.View }
+
+// Ticked comes every tickEvery.
+type Ticked struct{}
+
+func (Asked) event()    {}
+func (Adopted) event()  {}
+func (Began) event()    {}
+func (Ended) event()    {}
+func (Synced) event()   {}
+func (NodeLost) event() {}
+func (Viewed) event()   {}
+func (Ticked) event()   {}
+
+// Granted is the effect of Asked: the answer for the asking node.
+type Granted struct {
+	Node      snipeford.NodeID
+	Placement snipeford.Placement
+}
+
+// State knows the engines of all services.
+type State struct {
+	services map[snipeford.ServiceName]*placement.State
+	out      []Granted
+}
+
+// Apply takes in one event. The result is valid until the next call.
+func (s *State) Apply(now snipeford.Instant, e Event) []Granted {
+	s.out = s.out[:0]
+	switch e := e.(type) {
+	case Asked:
+		p := s.service(e.Ask.Service).Place(now, e.Ask)
+		s.out = append(s.out, Granted{e.Ask.Node, p})
+	case Adopted:
+		s.service(e.Call.Ask.Service).Adopt(now, e.Call)
+	case Began:
+		s.service(e.Service).First(now, e.Call)
+	case Ended:
+		s.service(e.Service).End(now, e.Call, e.Failed, e.Fault)
+	case Synced:
+		s.sync(now, e)
+	case NodeLost:
+		s.forget(now, e.Node)
+	case Viewed:
+		s.view(e.View)
+	case Ticked:
+		for _, service := range s.services {
+			service.Tick(now)
+		}
+	}
+	return s.out
+}
+
+func (s *State) service(name snipeford.ServiceName) *placement.State {
+	if s.services == nil {
+		s.services = map[snipeford.ServiceName]*placement.State{}
+	}
+	p, ok := s.services[name]
+	if !ok {
+		p = placement.New()
+		s.services[name] = p
+	}
+	return p
+}
+
+func (s *State) sync(now snipeford.Instant, e Synced) {
+	s.forget(now, e.Node)
+	for _, call := range e.Calls {
+		s.service(call.Ask.Service).Adopt(now, call)
+	}
+}
+
+func (s *State) forget(now snipeford.Instant, node snipeford.NodeID) {
+	for _, service := range s.services {
+		service.Forget(now, node)
+	}
+}
+
+func (s *State) view(v *directory.View) {
+	if v.Plan == nil {
+		return
+	}
+	for name, list := range v.Usable {
+		profile := v.Plan.Service(name)
+		if profile.Engine == nil {
+			continue
+		}
+		service := s.service(name)
+		service.Configure(*profile.Engine, profile.ColdRate)
+		service.SetCandidates(candidates(list))
+	}
+	for name, service := range s.services {
+		if _, ok := v.Usable[name]; !ok {
+			service.SetCandidates(nil)
+		}
+	}
+}
+
+func candidates(list []directory.Upstream) []placement.Candidate {
+	out := make([]placement.Candidate, 0, len(list))
+	for _, u := range list {
+		out = append(out, placement.Candidate{ID: u.ID, Domain: u.Domain, ColdUntil: u.ColdUntil})
+	}
+	return out
+}
+
+// Placed returns the running requests of a node.
+func (s *State) Placed(now snipeford.Instant, node snipeford.NodeID) []snipeford.PlacedCall {
+	var out []snipeford.PlacedCall
+	for _, service := range s.services {
+		out = slices.Concat(out, service.Placed(now, node))
+	}
+	return out
+}
+
+// tickEvery is the time between two Ticked events.
+const tickEvery = 500 * time.Millisecond
--- a/internal/control/timer/timer.go
+++ b/internal/control/timer/timer.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"snipeford"
 )
 
@@ -24,6 +26,18 @@
 	return snipeford.Instant(time.Since(s.start))
 }
 
+// Elapsed returns the time since the machine started, time in suspension
+// included. Ages that bound a promise are taken from it, as Now stands still
+// while the machine is suspended.
+func (s *Service) Elapsed() snipeford.Instant {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		// The kernel has no such clock: then it has no suspension that it counts.
+		return s.Now()
+	}
+	return snipeford.Instant(t.Nano())
+}
+
 // Wall returns the wall-clock time, for people to read.
 func (s *Service) Wall() time.Time { return time.Now().UTC() }
 
--- /dev/null
+++ b/internal/fleet/grant/frame.go
@@ -0,0 +1,90 @@
+// Package grant brings questions for a place to the node that decides for a
+// service, its home, and the answers back. One connection joins two nodes; it
+// carries many small messages. Requests themselves never pass it.
+package grant
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"snipeford"
+)
+
+// Frame is one message. Just one field is set.
+type Frame struct {
+	Hello *Hello               `json:",omitempty"`
+	Ask   *snipeford.PlaceAsk  `json:",omitempty"`
+	Grant *snipeford.Placement `json:",omitempty"`
+	// Adopt tells a home of a request that its entry node placed itself.
+	Adopt *snipeford.PlacedCall `json:",omitempty"`
+	Began *Progress             `json:",omitempty"`
+	Ended *Progress             `json:",omitempty"`
+	Sync  *Sync                 `json:",omitempty"`
+	Ping  *Ping                 `json:",omitempty"`
+	Pong  *Pong                 `json:",omitempty"`
+}
+
+// Hello is the first message on a connection.
+type Hello struct {
+	Node        snipeford.NodeID
+	Incarnation snipeford.Incarnation
+}
+
+// Progress tells of a request that was placed.
+type Progress struct {
+	Service snipeford.ServiceName
+	Call    snipeford.RequestID
+	Failed  bool                 `json:",omitempty"`
+	Fault   snipeford.UpstreamID `json:",omitempty"`
+}
+
+// Sync brings all running requests of the sender.
+type Sync struct{ Calls []snipeford.PlacedCall }
+
+// Ping asks for a Pong with the same number.
+type Ping struct{ Number uint64 }
+
+// Pong answers a Ping. ConfirmedAge is how old the sender's knowledge of the
+// operators' rows is, in milliseconds, and Version the routing that it holds.
+type Pong struct {
+	Number       uint64
+	Version      snipeford.Version
+	Confirmed    bool
+	ConfirmedAge int64
+}
+
+// writeTimeout bounds the writing of a message: a peer that does not read is
+// given up.
+const writeTimeout = 300 * time.Millisecond
+
+// wire is one connection with its encoder.
+type wire struct {
+	conn    net.Conn
+	mu      sync.Mutex
+	encoder *json.Encoder
+	now     func() time.Time
+}
+
+func newWire(c net.Conn, now func() time.Time) *wire {
+	return &wire{conn: c, encoder: json.NewEncoder(c), now: now}
+}
+
+// send writes one message. After an error the connection is closed.
+func (w *wire) send(f Frame) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.conn.SetWriteDeadline(w.now().Add(writeTimeout)); err != nil {
+		return fmt.Errorf("set write deadline: %w", err)
+	}
+	if err := w.encoder.Encode(f); err != nil {
+		w.close()
+		return fmt.Errorf("send to peer: %w", err)
+	}
+	return nil
+}
+
+// close ends the connection; its state is of no interest any more.
+func (w *wire) close() { _ = w.conn.Close() }
--- /dev/null
+++ b/internal/fleet/grant/link.go
@@ -0,0 +1,230 @@
+package grant
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"snipeford"
+)
+
+const (
+	// pingEvery is how often a peer is asked whether it answers, and pongWithin
+	// how long it may take before it is not asked for places any more. A frozen
+	// peer costs its askers askTimeout for that long at most.
+	pingEvery  = 100 * time.Millisecond
+	pongWithin = 250 * time.Millisecond
+	// silentAfter is when a connection without a pong is closed and made anew:
+	// it may have gone silent while the peer lives.
+	silentAfter = 1500 * time.Millisecond
+	// redialEvery is the pause between two tries to connect.
+	redialEvery = 300 * time.Millisecond
+	dialTimeout = 500 * time.Millisecond
+)
+
+// errGone says that the connection ended before the answer came.
+var errGone = errors.New("peer's connection ended")
+
+// link is the connection to one peer, made again whenever it breaks.
+type link struct {
+	links   *Links
+	node    snipeford.NodeID
+	address string
+	cancel  context.CancelFunc
+
+	mu       sync.Mutex
+	wire     *wire
+	pongAt   snipeford.Instant
+	pingAt   snipeford.Instant
+	number   uint64
+	failedAt snipeford.Instant
+	pending  map[snipeford.RequestID]chan snipeford.Placement
+}
+
+// run connects and reads until ctx ends.
+func (l *link) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := l.connect(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		l.links.Log.Believed("peer not connected", "Peer", l.node, "Error", err)
+		l.links.Timer.Sleep(ctx, redialEvery)
+	}
+}
+
+func (l *link) connect(ctx context.Context) error {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp4", l.address)
+	if err != nil {
+		return fmt.Errorf("connect to peer: %w", trace.ConvertSystemError(err))
+	}
+	w := newWire(c, l.links.Timer.Wall)
+	stop := context.AfterFunc(ctx, w.close)
+	defer stop()
+	defer l.drop(w)
+	if err := w.send(Frame{Hello: &Hello{l.links.Self.Node, l.links.Self.Incarnation}}); err != nil {
+		return err
+	}
+	if err := w.send(Frame{Sync: &Sync{l.links.Loop.Placed()}}); err != nil {
+		return err
+	}
+	l.open(w)
+	return l.read(w)
+}
+
+func (l *link) open(w *wire) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.wire = w
+	l.pongAt, l.pingAt = 0, 0
+	l.pending = map[snipeford.RequestID]chan snipeford.Placement{}
+}
+
+// drop closes the connection; whoever waits decides for itself.
+func (l *link) drop(w *wire) {
+	w.close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.wire != w {
+		return
+	}
+	l.wire = nil
+	for _, waiting := range l.pending {
+		close(waiting)
+	}
+	l.pending = nil
+}
+
+func (l *link) read(w *wire) error {
+	decoder := json.NewDecoder(bufio.NewReader(w.conn))
+	for {
+		var f Frame
+		if err := decoder.Decode(&f); err != nil {
+			return fmt.Errorf("read peer: %w", trace.ConvertSystemError(err))
+		}
+		switch {
+		case f.Grant != nil:
+			l.granted(*f.Grant)
+		case f.Pong != nil:
+			l.ponged(*f.Pong)
+		}
+	}
+}
+
+func (l *link) granted(p snipeford.Placement) {
+	l.mu.Lock()
+	waiting, ok := l.pending[p.Call]
+	delete(l.pending, p.Call)
+	l.mu.Unlock()
+	if !ok {
+		// This node has decided itself, and its Adopt corrects the home.
+		l.links.Log.Decided("late answer of the home dropped", p.Call, "Home", l.node)
+		return
+	}
+	waiting <- p
+}
+
+func (l *link) ponged(p Pong) {
+	l.mu.Lock()
+	current := p.Number == l.number
+	sent := l.pingAt
+	if current {
+		l.pongAt = l.links.Timer.Now()
+	}
+	l.mu.Unlock()
+	if current && l.links.Heard != nil {
+		l.links.Heard(p, sent)
+	}
+}
+
+// ping asks for a sign of life, and closes a connection that gives none.
+func (l *link) ping(now snipeford.Instant) {
+	l.mu.Lock()
+	w := l.wire
+	if w == nil {
+		l.mu.Unlock()
+		return
+	}
+	waiting := l.pingAt > l.pongAt
+	if waiting && now.Sub(l.pingAt) > silentAfter {
+		l.mu.Unlock()
+		w.close()
+		return
+	}
+	if waiting {
+		l.mu.Unlock()
+		return
+	}
+	l.number++
+	l.pingAt = now
+	frame := Frame{Ping: &Ping{l.number}}
+	l.mu.Unlock()
+	if err := w.send(frame); err != nil {
+		l.links.Log.Failed("peer not asked", err, "Peer", l.node)
+	}
+}
+
+// healthy reports whether the peer answered lately.
+func (l *link) healthy(now snipeford.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.wire == nil || l.pongAt == 0 || now.Sub(l.failedAt) < suspicion && l.failedAt > 0 {
+		return false
+	}
+	return l.pongAt >= l.pingAt || now.Sub(l.pingAt) < pongWithin
+}
+
+// suspicion is how long a peer that missed an answer is not asked.
+const suspicion = 400 * time.Millisecond
+
+func (l *link) suspect(now snipeford.Instant) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.failedAt = now
+}
+
+// ask sends a question and returns where its answer will come.
+func (l *link) ask(a snipeford.PlaceAsk) (<-chan snipeford.Placement, error) {
+	l.mu.Lock()
+	w := l.wire
+	if w == nil {
+		l.mu.Unlock()
+		return nil, errGone
+	}
+	waiting := make(chan snipeford.Placement, 1)
+	l.pending[a.Call] = waiting
+	l.mu.Unlock()
+	if err := w.send(Frame{Ask: &a}); err != nil {
+		l.cancelAsk(a.Call)
+		return nil, err
+	}
+	return waiting, nil
+}
+
+func (l *link) cancelAsk(call snipeford.RequestID) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.pending, call)
+}
+
+// tell sends a message where the peer is connected; a new connection begins
+// with a Sync that makes up for what was not sent.
+func (l *link) tell(f Frame) {
+	l.mu.Lock()
+	w := l.wire
+	l.mu.Unlock()
+	if w == nil {
+		return
+	}
+	if err := w.send(f); err != nil {
+		l.links.Log.Failed("peer not told", err, "Peer", l.node)
+	}
+}
--- /dev/null
+++ b/internal/fleet/grant/links.go
@@ -0,0 +1,193 @@
+package grant
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/control/directory"
+	"snipeford/internal/control/placer"
+	"snipeford/internal/control/timer"
+	"snipeford/internal/fleet/home"
+	"snipeford/internal/operate/decision"
+)
+
+const (
+	// askTimeout is how long a home may take. Nodes of one region are a few
+	// milliseconds apart; without an answer the entry node decides itself.
+	askTimeout = 40 * time.Millisecond
+	// standbys is how many nodes of a service's order are kept connected.
+	standbys = 3
+)
+
+// Links keeps the connections to the homes and asks them.
+type Links struct {
+	Self  directory.Peer
+	Loop  *placer.Loop
+	Timer *timer.Service
+	Log   *decision.Log
+	// Heard is told of each pong and of the instant at which it was asked for,
+	// where it is not nil.
+	Heard func(p Pong, asked snipeford.Instant)
+
+	mu    sync.Mutex
+	ctx   context.Context
+	links map[snipeford.NodeID]*link
+	// orders holds the nodes of each service, the home first.
+	orders map[snipeford.ServiceName][]snipeford.NodeID
+	homes  map[snipeford.ServiceName]snipeford.NodeID
+}
+
+// Run keeps the links alive until ctx ends.
+func (l *Links) Run(ctx context.Context) error {
+	l.mu.Lock()
+	l.ctx = ctx
+	l.mu.Unlock()
+	ticks := l.Timer.Every(ctx, pingEvery)
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-ticks:
+			for _, one := range l.all() {
+				one.ping(now)
+			}
+		}
+	}
+}
+
+func (l *Links) all() []*link {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make([]*link, 0, len(l.links))
+	for _, one := range l.links {
+		out = append(out, one)
+	}
+	return out
+}
+
+// View takes in the directory's view: who the nodes are and which services
+// have model engines.
+func (l *Links) View(v *directory.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.ctx == nil || v.Plan == nil {
+		return
+	}
+	members := []home.Member{{Node: l.Self.Node, Weight: l.Self.Weight}}
+	for id, p := range v.Peers {
+		if id != l.Self.Node {
+			members = append(members, home.Member{Node: id, Weight: p.Weight})
+		}
+	}
+	l.orders = map[snipeford.ServiceName][]snipeford.NodeID{}
+	wanted := map[snipeford.NodeID]bool{}
+	for name := range v.Usable {
+		if v.Plan.Service(name).Engine == nil {
+			continue
+		}
+		order := home.Rank(name, members)
+		l.orders[name] = order
+		for _, id := range order[:min(len(order), standbys)] {
+			wanted[id] = id != l.Self.Node
+		}
+	}
+	l.connect(v, wanted)
+}
+
+func (l *Links) connect(v *directory.View, wanted map[snipeford.NodeID]bool) {
+	if l.links == nil {
+		l.links = map[snipeford.NodeID]*link{}
+	}
+	for id, one := range l.links {
+		if !wanted[id] || v.Peers[id].Address != one.address {
+			one.cancel()
+			delete(l.links, id)
+		}
+	}
+	for id, want := range wanted {
+		if !want || l.links[id] != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(l.ctx)
+		one := &link{links: l, node: id, address: v.Peers[id].Address, cancel: cancel}
+		l.links[id] = one
+		go one.run(ctx)
+	}
+}
+
+// homeOf returns the link to a service's home, or nil where this node is it.
+func (l *Links) homeOf(name snipeford.ServiceName) *link {
+	now := l.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	chosen, node := (*link)(nil), l.Self.Node
+	for _, id := range l.orders[name] {
+		if id == l.Self.Node {
+			break
+		}
+		if one := l.links[id]; one != nil && one.healthy(now) {
+			chosen, node = one, id
+			break
+		}
+	}
+	if l.homes == nil {
+		l.homes = map[snipeford.ServiceName]snipeford.NodeID{}
+	}
+	if l.homes[name] != node {
+		l.Log.Believed("home changed", "Service", name, "From", l.homes[name], "To", node)
+		l.homes[name] = node
+		if chosen != nil {
+			go func() { chosen.tell(Frame{Sync: &Sync{l.Loop.Placed()}}) }()
+		}
+	}
+	return chosen
+}
+
+// Place asks the service's home for a place, and decides here where it does
+// not answer in time. It returns which node decided.
+func (l *Links) Place(ctx context.Context, ask snipeford.PlaceAsk) (snipeford.Placement, snipeford.NodeID) {
+	ask.Node = l.Self.Node
+	at := l.homeOf(ask.Service)
+	if at == nil {
+		return l.Loop.Place(ctx, ask), l.Self.Node
+	}
+	asked := l.Timer.Now()
+	if waiting, err := at.ask(ask); err == nil {
+		timeout, cancel := context.WithTimeout(ctx, askTimeout)
+		defer cancel()
+		select {
+		case p, ok := <-waiting:
+			if ok {
+				l.Loop.Send(placer.Adopted{Call: snipeford.PlacedCall{Ask: ask, Placement: p}})
+				return p, at.node
+			}
+		case <-timeout.Done():
+			at.cancelAsk(ask.Call)
+			at.suspect(l.Timer.Now())
+		}
+	}
+	l.Log.Decided("home did not answer", ask.Call, "Home", at.node, "Waited", l.Timer.Now().Sub(asked))
+	p := l.Loop.Place(ctx, ask)
+	if !p.Refused {
+		at.tell(Frame{Adopt: &snipeford.PlacedCall{Ask: ask, Placement: p}})
+	}
+	return p, l.Self.Node
+}
+
+// Began tells the home and the own books of a request's first event.
+func (l *Links) Began(name snipeford.ServiceName, call snipeford.RequestID) {
+	l.Loop.Send(placer.Began{Service: name, Call: call})
+	if at := l.homeOf(name); at != nil {
+		at.tell(Frame{Began: &Progress{Service: name, Call: call}})
+	}
+}
+
+// Ended tells the home and the own books of a request's end.
+func (l *Links) Ended(name snipeford.ServiceName, call snipeford.RequestID, failed bool, fault snipeford.UpstreamID) {
+	l.Loop.Send(placer.Ended{Service: name, Call: call, Failed: failed, Fault: fault})
+	if at := l.homeOf(name); at != nil {
+		at.tell(Frame{Ended: &Progress{Service: name, Call: call, Failed: failed, Fault: fault}})
+	}
+}
--- a/internal/operate/command/verb.go
+++ b/internal/operate/command/verb.go
@@ -34,7 +34,7 @@
 // Table lists the verbs.
 var Table = []subcommands.Command{
 	&serveVerb{}, &checkVerb{}, &applyVerb{}, &showVerb{}, &statusVerb{},
-	&outVerb{out: true}, &outVerb{out: false}, &drainVerb{}, &explainVerb{},
+	&edgeVerb{}, &outVerb{out: true}, &outVerb{out: false}, &drainVerb{}, &explainVerb{},
 }
 
 // Run parses the process's arguments and runs the verb. The result is the
--- /dev/null
+++ b/internal/operate/settings/edge.go
@@ -0,0 +1,123 @@
+package settings
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/gravitational/trace"
+
+	"snipeford"
+	"snipeford/internal/rule/document"
+)
+
+// Edge is what a node on the users' platform needs to know before it starts.
+type Edge struct {
+	Node          snipeford.NodeID
+	FailureDomain snipeford.FailureDomain
+	// CallerAddress takes callers' requests, ReadyAddress the balancer's
+	// question, PeerAddress other nodes and MetricsAddress operators.
+	CallerAddress  string
+	ReadyAddress   string
+	PeerAddress    string
+	MetricsAddress string
+	// Store is the address of the platform's store.
+	Store    string
+	LogLevel string
+	// ProcessorShare is the part of a core that the VM has.
+	ProcessorShare float64
+	// MemoryMegabytes bounds the process.
+	MemoryMegabytes float64
+	// RevocationBound is within what time a key that was taken away is refused,
+	// and ConfigurationBound within what time a new routing is in force.
+	RevocationBound    time.Duration
+	ConfigurationBound time.Duration
+	// StopGrace is how long after SIGTERM the process is killed.
+	StopGrace time.Duration
+	// RepeatRatio, RepeatWindow and RepeatSlack bound the repeats to a service
+	// over all nodes.
+	RepeatRatio  float64
+	RepeatWindow time.Duration
+	RepeatSlack  float64
+}
+
+var edgeFields = []document.Field[Edge]{
+	{Name: "Node", Allowed: "a name of its own for each node", Required: true, Set: func(s *Edge, v document.Value) error {
+		w, err := v.Word()
+		s.Node = snipeford.NodeID(w)
+		return err
+	}},
+	{Name: "FailureDomain", Allowed: "the failure domain that the VM stands in", Required: true, Set: func(s *Edge, v document.Value) error {
+		w, err := v.Word()
+		s.FailureDomain = snipeford.FailureDomain(w)
+		return err
+	}},
+	edgeAddress("CallerAddress", func(s *Edge) *string { return &s.CallerAddress }),
+	edgeAddress("ReadyAddress", func(s *Edge) *string { return &s.ReadyAddress }),
+	edgeAddress("PeerAddress", func(s *Edge) *string { return &s.PeerAddress }),
+	edgeAddress("MetricsAddress", func(s *Edge) *string { return &s.MetricsAddress }),
+	edgeAddress("Store", func(s *Edge) *string { return &s.Store }),
+	{Name: "LogLevel", Allowed: "debug, info, warn or error", Set: func(s *Edge, v document.Value) (err error) {
+		s.LogLevel, err = v.OneOf("debug", "info", "warn", "error")
+		return err
+	}},
+	edgeNumber("ProcessorShare", 0.01, func(s *Edge) *float64 { return &s.ProcessorShare }),
+	edgeNumber("MemoryMegabytes", 32, func(s *Edge) *float64 { return &s.MemoryMegabytes }),
+	edgeTime("RevocationMilliseconds", time.Millisecond, 1000, func(s *Edge) *time.Duration { return &s.RevocationBound }),
+	edgeTime("ConfigurationMilliseconds", time.Millisecond, 500, func(s *Edge) *time.Duration { return &s.ConfigurationBound }),
+	edgeTime("StopGraceSeconds", time.Second, 1, func(s *Edge) *time.Duration { return &s.StopGrace }),
+	edgeNumber("RepeatRatio", 0, func(s *Edge) *float64 { return &s.RepeatRatio }),
+	edgeTime("RepeatWindowSeconds", time.Second, 0.1, func(s *Edge) *time.Duration { return &s.RepeatWindow }),
+	edgeNumber("RepeatSlack", 0, func(s *Edge) *float64 { return &s.RepeatSlack }),
+}
+
+func edgeAddress(name string, at func(*Edge) *string) document.Field[Edge] {
+	return document.Field[Edge]{Name: name, Allowed: `an IP number and port such as "10.0.0.7:8080"`, Required: true, Set: func(s *Edge, v document.Value) error {
+		w, err := v.Word()
+		*at(s) = w
+		host, _, bad := net.SplitHostPort(w)
+		if bad != nil || net.ParseIP(host) == nil {
+			return document.ErrValue
+		}
+		return err
+	}}
+}
+
+func edgeNumber(name string, least float64, at func(*Edge) *float64) document.Field[Edge] {
+	return document.Field[Edge]{Name: name, Allowed: fmt.Sprintf("a number of at least %v", least), Required: true, Set: func(s *Edge, v document.Value) (err error) {
+		*at(s), err = v.Number(least)
+		return err
+	}}
+}
+
+func edgeTime(name string, unit time.Duration, least float64, at func(*Edge) *time.Duration) document.Field[Edge] {
+	return document.Field[Edge]{Name: name, Allowed: fmt.Sprintf("a number of at least %v", least), Required: true, Set: func(s *Edge, v document.Value) error {
+		n, err := v.Number(least)
+		*at(s) = time.Duration(n * float64(unit))
+		return err
+	}}
+}
+
+// ParseEdge reads the settings of a node on the users' platform.
+func ParseEdge(name string, data []byte) (Edge, error) {
+	entries, faults := document.Parse(name, data)
+	if faults != nil {
+		return Edge{}, faults.Or()
+	}
+	s, faults := document.Read(name, 1, entries, edgeFields)
+	if s.LogLevel == "" {
+		s.LogLevel = log.InfoLevel.String()
+	}
+	return s, faults.Or()
+}
+
+// LoadEdge reads a settings file.
+func LoadEdge(path string) (Edge, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Edge{}, fmt.Errorf("read settings: %w", trace.ConvertSystemError(err))
+	}
+	return ParseEdge(path, data)
+}
--- /dev/null
+++ b/internal/policy/placement/choose.go
@@ -0,0 +1,273 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"snipeford"
+)
+
+// Figures of the choice. Losses are counted in requests of usual size.
+const (
+	// longReading is the reading, in milliseconds, from which a prompt counts
+	// as long.
+	longReading = 150
+	// weightTokens is the prompt length that doubles what a late request
+	// loses: its caller has to send and wait for as much again.
+	weightTokens = 10_000
+	// softness is the width, as a share of a limit, in which a predicted time
+	// near the limit counts as partly late. Predictions err by about a pass.
+	softness = 0.15
+	// safety is the share of a limit that a prediction may use up.
+	safety = 0.85
+	// hastening is what a first event at its target costs beside one at once.
+	hastening = 0.08
+	// packing is what a request with short pauses pays at an engine that has
+	// none, where long prompts keep all engines busy.
+	packing = 0.6
+	// otherDomain is what an engine in another failure domain costs.
+	otherDomain = 0.004
+	// mostHelpers is the most helpers that engines take.
+	mostHelpers = 16
+	// memoryUse is the share of an engine's memory that is given away.
+	memoryUse = 0.96
+	// coldLoss is what a cold engine costs.
+	coldLoss = 0.3
+	// callerHop is the time from the engine's event to the caller and from the
+	// caller to the engine, in milliseconds.
+	callerHop = 8
+)
+
+// helperCounts are the numbers of helpers that are weighed.
+var helperCounts = []int{0, 1, 2, 3, 5, 7, 9, 11, 13, 15}
+
+// option is one engine as seen by one request.
+type option struct {
+	r *replica
+	// finish is when its part would be read, in milliseconds from now.
+	finish float64
+	// first is when the first event would come if it wrote the answer.
+	first float64
+	harm  float64
+	score float64
+}
+
+// lateness returns the chance that a time misses its limit.
+func lateness(time, limit float64) float64 {
+	if limit <= 0 {
+		return 1
+	}
+	x := (time - safety*limit) / (softness * limit)
+	return 1 / (1 + math.Exp(-2*x))
+}
+
+func weight(prompt snipeford.Tokens) float64 { return 1 + float64(prompt)/weightTokens }
+
+// Place chooses where a request runs and enters it into the books.
+func (s *State) Place(now snipeford.Instant, ask snipeford.PlaceAsk) snipeford.Placement {
+	s.decay(now)
+	usable := s.usable(now, ask)
+	if len(usable) == 0 || s.model.ReadRate <= 0 {
+		return snipeford.Placement{Call: ask.Call, Refused: true, RetryAfter: retryLater}
+	}
+	best, loss := snipeford.Placement{}, math.Inf(1)
+	var due float64
+	for _, helpers := range helperCounts {
+		if helpers+1 > len(usable) || helpers > mostHelpers || helpers > 0 && !s.model.Joint {
+			break
+		}
+		if helpers > 0 && ask.Prompt/snipeford.Tokens(helpers+1) < s.model.Chunk {
+			break
+		}
+		p, l, first, ok := s.weigh(now, ask, usable, helpers)
+		if ok && l < loss {
+			best, loss, due = p, l, first
+		}
+	}
+	if math.IsInf(loss, 1) {
+		return snipeford.Placement{Call: ask.Call, Refused: true, RetryAfter: retryLater}
+	}
+	j := s.commit(now, ask, best)
+	j.due = now.Add(duration(due))
+	return best
+}
+
+// retryLater is when a caller may come back that no engine can take.
+const retryLater = 500 * time.Millisecond
+
+// usable returns the engines that may get the request. Suspects are left out
+// as long as others are there.
+func (s *State) usable(now snipeford.Instant, ask snipeford.PlaceAsk) []*replica {
+	var good, rest []*replica
+	for _, r := range s.order {
+		if slices.Contains(ask.Excluded, r.id) || s.coldFull(now, r) {
+			continue
+		}
+		if r.suspectUntil > now {
+			rest = append(rest, r)
+			continue
+		}
+		good = append(good, r)
+	}
+	if len(good) == 0 {
+		return rest
+	}
+	return good
+}
+
+// coldFull reports whether the engine got as many requests in the last second
+// as a cold one bears. Engines turn cold without notice, so that it holds for
+// all of them.
+func (s *State) coldFull(now snipeford.Instant, r *replica) bool {
+	return s.coldRate > 0 && float64(r.sentLately(now)+1) > s.coldRate
+}
+
+// weigh finds the best engines for a number of helpers.
+func (s *State) weigh(now snipeford.Instant, ask snipeford.PlaceAsk, usable []*replica, helpers int) (snipeford.Placement, float64, float64, bool) {
+	part := s.model.reading(ask.Prompt) / float64(helpers+1)
+	options := make([]option, 0, len(usable))
+	for _, r := range usable {
+		options = append(options, s.option(now, ask, r, part))
+	}
+	w := weight(ask.Prompt)
+	for i := range options {
+		o := &options[i]
+		o.score = o.harm + w*lateness(o.first, ms(ask.Target)) + w*hastening*o.first/math.Max(ms(ask.Target), 1)
+	}
+	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.score, b.score) })
+	chosen := options[:helpers+1]
+	lead := s.lead(ask, chosen)
+	if lead < 0 {
+		return s.weighSpread(ask, chosen, w)
+	}
+	chosen[0], chosen[lead] = chosen[lead], chosen[0]
+	return placed(ask, chosen, 0), s.loss(ask, chosen, w), finish(chosen), true
+}
+
+// option predicts what a part of the prompt does at one engine.
+func (s *State) option(now snipeford.Instant, ask snipeford.PlaceAsk, r *replica, part float64) option {
+	n, context := r.writers()
+	base := s.model.pass(n+1, context+ask.Prompt) * r.pace
+	backlog := r.backlog(now)
+	part *= r.pace
+	residual := 0.0
+	if n > 0 || backlog > 0 {
+		residual = base / 2
+	}
+	o := option{r: r, finish: callerHop + residual + backlog + part}
+	o.first = o.finish + base
+	if waiting := len(r.jobs) - s.model.Slots; waiting >= 0 && s.model.Slots > 0 {
+		o.first += float64(waiting+1) * base * slotTurn
+	}
+	o.harm = s.harm(now, r, base+backlog, part)
+	if ms(ask.MaxPause) < tightPause && !s.hasTight(r) {
+		o.harm += packing * min(1, s.longLoad/(1000*float64(max(len(s.order), 1))))
+	}
+	if r.coldUntil > now {
+		o.harm += coldLoss
+	}
+	if r.domain != ask.Domain {
+		o.harm += otherDomain
+	}
+	return o
+}
+
+const (
+	// tightPause is the pause, in milliseconds, below which a stream does not
+	// bear long prompts beside it.
+	tightPause = 400
+	// slotTurn is how many passes a full engine takes to end one request.
+	slotTurn = 3
+)
+
+// harm returns what the streams at an engine lose where the next pass takes
+// pass milliseconds and part more.
+func (s *State) harm(now snipeford.Instant, r *replica, pass, part float64) float64 {
+	sum := 0.0
+	for _, j := range r.jobs {
+		if j.late {
+			continue
+		}
+		if j.stage == writing {
+			limit := ms(j.ask.MaxPause)
+			sum += weight(j.ask.Prompt) * (lateness(pass+part, limit) - lateness(pass, limit))
+			continue
+		}
+		limit := ms(j.start.Add(j.ask.Target).Sub(now))
+		eta := math.Max(ms(j.due.Sub(now)), 0)
+		sum += weight(j.ask.Prompt) * (lateness(eta+part, limit) - lateness(eta, limit))
+	}
+	return sum
+}
+
+func (s *State) hasTight(r *replica) bool {
+	for _, j := range r.jobs {
+		if ms(j.ask.MaxPause) < tightPause {
+			return true
+		}
+	}
+	return false
+}
+
+// lead returns the chosen engine that writes: the first by its own time whose
+// memory holds the whole prompt, or -1.
+func (s *State) lead(ask snipeford.PlaceAsk, chosen []option) int {
+	limit := snipeford.Tokens(memoryUse * float64(s.model.Memory))
+	lead := -1
+	for i, o := range chosen {
+		if o.r.memory()+ask.Prompt+ask.Output > limit {
+			continue
+		}
+		if lead < 0 || o.first < chosen[lead].first {
+			lead = i
+		}
+	}
+	return lead
+}
+
+// weighSpread places a prompt whose memory no chosen engine has alone: each
+// sets aside an even part of it.
+func (s *State) weighSpread(ask snipeford.PlaceAsk, chosen []option, w float64) (snipeford.Placement, float64, float64, bool) {
+	need := ask.Prompt + ask.Output
+	if len(chosen) < 2 || need <= snipeford.Tokens(memoryUse*float64(s.model.Memory)) {
+		return snipeford.Placement{}, 0, 0, false
+	}
+	share := need/snipeford.Tokens(len(chosen)) + s.model.Chunk
+	limit := snipeford.Tokens(memoryUse * float64(s.model.Memory))
+	for _, o := range chosen {
+		if o.r.memory()+share > limit {
+			return snipeford.Placement{}, 0, 0, false
+		}
+	}
+	return placed(ask, chosen, share), s.loss(ask, chosen, w), finish(chosen), true
+}
+
+func placed(ask snipeford.PlaceAsk, chosen []option, reserve snipeford.Tokens) snipeford.Placement {
+	p := snipeford.Placement{Call: ask.Call, Upstream: chosen[0].r.id, Reserve: reserve}
+	for _, o := range chosen[1:] {
+		p.Helpers = append(p.Helpers, o.r.id)
+	}
+	return p
+}
+
+// finish returns when the first event comes: after the last part.
+func finish(chosen []option) float64 {
+	last := chosen[0].first
+	for _, o := range chosen[1:] {
+		last = math.Max(last, o.finish+chosen[0].first-chosen[0].finish)
+	}
+	return last
+}
+
+// loss adds up what a placement costs its own caller and the others.
+func (s *State) loss(ask snipeford.PlaceAsk, chosen []option, w float64) float64 {
+	sum := 0.0
+	for _, o := range chosen {
+		sum += o.harm
+	}
+	first := finish(chosen)
+	target := ms(ask.Target)
+	return sum + w*lateness(first, target) + w*hastening*first/math.Max(target, 1)
+}
--- /dev/null
+++ b/internal/policy/placement/state.go
@@ -0,0 +1,243 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"snipeford"
+)
+
+// State knows the engines of one service and what was placed there.
+type State struct {
+	model    model
+	coldRate float64
+	replicas map[snipeford.UpstreamID]*replica
+	order    []*replica
+	jobs     map[snipeford.RequestID]*job
+	// longLoad is the decaying reading work of long prompts, in milliseconds a
+	// second, at longLoadAt.
+	longLoad   float64
+	longLoadAt snipeford.Instant
+}
+
+// Candidate is an engine that may get requests.
+type Candidate struct {
+	ID        snipeford.UpstreamID
+	Domain    snipeford.FailureDomain
+	ColdUntil snipeford.Instant
+}
+
+const (
+	// loadMemory is the time constant of longLoad. It follows bursts of some
+	// seconds.
+	loadMemory = 2 * time.Second
+	// paceWeight is the weight of the newest measurement of a replica's pace.
+	paceWeight = 0.15
+	// leastPace and mostPace bound the pace that is believed.
+	leastPace = 0.7
+	mostPace  = 8
+	// forgottenAfter is when a job that never ended is dropped: its entry node
+	// is gone. No route lets callers wait longer than this after a start.
+	forgottenAfter = 30 * time.Second
+)
+
+// New returns a state without engines.
+func New() *State {
+	return &State{
+		replicas: map[snipeford.UpstreamID]*replica{},
+		jobs:     map[snipeford.RequestID]*job{},
+	}
+}
+
+// Configure sets the figures of the engines. ColdRate is the requests a second
+// that a cold engine bears, or zero.
+func (s *State) Configure(p snipeford.EngineProfile, coldRate float64) {
+	s.model, s.coldRate = model{p}, coldRate
+}
+
+// SetCandidates replaces the engines that may get requests.
+func (s *State) SetCandidates(list []Candidate) {
+	s.order = s.order[:0]
+	for _, c := range list {
+		r, ok := s.replicas[c.ID]
+		if !ok {
+			r = newReplica(c.ID, c.Domain)
+			s.replicas[c.ID] = r
+		}
+		r.coldUntil = c.ColdUntil
+		s.order = append(s.order, r)
+	}
+	for id, r := range s.replicas {
+		known := slices.ContainsFunc(list, func(c Candidate) bool { return c.ID == id })
+		if !known && len(r.jobs)+len(r.parts) == 0 {
+			delete(s.replicas, id)
+		}
+	}
+}
+
+// Adopt notes a request that was placed elsewhere. It takes the place of what
+// is known of the request.
+func (s *State) Adopt(now snipeford.Instant, p snipeford.PlacedCall) {
+	if p.Placement.Refused {
+		return
+	}
+	if _, ok := s.jobs[p.Ask.Call]; ok {
+		s.End(now, p.Ask.Call, false, "")
+	}
+	j := s.commit(now, p.Ask, p.Placement)
+	j.start = now.Add(-p.Age)
+	if p.Writing {
+		s.First(now, p.Ask.Call)
+	}
+}
+
+// commit enters a placement into the engines' books.
+func (s *State) commit(now snipeford.Instant, ask snipeford.PlaceAsk, p snipeford.Placement) *job {
+	whole := s.model.reading(ask.Prompt)
+	j := &job{ask: ask, placed: p, start: now, part: whole / float64(1+len(p.Helpers))}
+	s.jobs[ask.Call] = j
+	first := s.replica(p.Upstream)
+	first.jobs[ask.Call] = j
+	first.sent = append(first.sent, now)
+	first.addReading(now, j.part*first.pace)
+	for _, id := range p.Helpers {
+		helper := s.replica(id)
+		helper.parts[ask.Call] = j
+		helper.addReading(now, j.part*helper.pace)
+	}
+	s.countLong(now, ask, whole)
+	return j
+}
+
+func (s *State) replica(id snipeford.UpstreamID) *replica {
+	r, ok := s.replicas[id]
+	if !ok {
+		r = newReplica(id, "")
+		s.replicas[id] = r
+	}
+	return r
+}
+
+func (s *State) countLong(now snipeford.Instant, ask snipeford.PlaceAsk, work float64) {
+	s.decay(now)
+	if work > ms(ask.MaxPause) || work > longReading {
+		s.longLoad += work / loadMemory.Seconds()
+	}
+}
+
+func (s *State) decay(now snipeford.Instant) {
+	if s.longLoadAt > 0 {
+		s.longLoad *= math.Exp(-float64(now.Sub(s.longLoadAt)) / float64(loadMemory))
+	}
+	s.longLoadAt = now
+}
+
+// First notes a request's first event.
+func (s *State) First(now snipeford.Instant, call snipeford.RequestID) {
+	j, ok := s.jobs[call]
+	if !ok || j.stage == writing {
+		return
+	}
+	j.stage, j.firstAt = writing, now
+	took := now.Sub(j.start)
+	j.late = took > j.ask.Target
+	first := s.replica(j.placed.Upstream)
+	first.succeeded(now)
+	s.learnPace(first, j, took)
+	s.freeParts(j)
+	if !s.reads(first) {
+		first.busyUntil = min(first.busyUntil, now)
+	}
+}
+
+// learnPace compares a first event's time with the predicted one.
+func (s *State) learnPace(r *replica, j *job, took time.Duration) {
+	if j.due <= j.start || len(j.placed.Helpers) > 0 {
+		return
+	}
+	ratio := r.pace * float64(took) / float64(j.due.Sub(j.start))
+	ratio = min(max(ratio, leastPace), mostPace)
+	r.pace += paceWeight * (ratio - r.pace)
+	r.pace = max(r.pace, 1)
+}
+
+// reads reports whether a job's prompt is still read at the replica.
+func (s *State) reads(r *replica) bool {
+	for _, j := range r.jobs {
+		if j.stage == reading {
+			return true
+		}
+	}
+	return len(r.parts) > 0
+}
+
+// freeParts ends the helpers' reading. Helpers that hold memory for the job
+// keep it until its end.
+func (s *State) freeParts(j *job) {
+	if j.placed.Reserve > 0 {
+		return
+	}
+	for _, id := range j.placed.Helpers {
+		if r, ok := s.replicas[id]; ok {
+			delete(r.parts, j.ask.Call)
+		}
+	}
+}
+
+// End forgets a request. Failed says that its engine, or the one that fault
+// names, failed it.
+func (s *State) End(now snipeford.Instant, call snipeford.RequestID, failed bool, fault snipeford.UpstreamID) {
+	j, ok := s.jobs[call]
+	if !ok {
+		return
+	}
+	delete(s.jobs, call)
+	first := s.replica(j.placed.Upstream)
+	delete(first.jobs, call)
+	for _, id := range j.placed.Helpers {
+		if r, ok := s.replicas[id]; ok {
+			delete(r.parts, call)
+		}
+	}
+	if failed {
+		if fault != "" {
+			first = s.replica(fault)
+		}
+		first.failed(now)
+		return
+	}
+	if j.stage == writing {
+		first.succeeded(now)
+	}
+}
+
+// Tick drops jobs whose entry node was lost.
+func (s *State) Tick(now snipeford.Instant) {
+	for call, j := range s.jobs {
+		if now.Sub(j.start) > forgottenAfter {
+			s.End(now, call, false, "")
+		}
+	}
+}
+
+// Placed returns the running requests of a node, for a new home.
+func (s *State) Placed(now snipeford.Instant, node snipeford.NodeID) []snipeford.PlacedCall {
+	var out []snipeford.PlacedCall
+	for _, j := range s.jobs {
+		if j.ask.Node != node {
+			continue
+		}
+		out = append(out, snipeford.PlacedCall{Ask: j.ask, Placement: j.placed, Age: now.Sub(j.start), Writing: j.stage == writing})
+	}
+	return out
+}
+
+// Forget drops the requests of a node that is gone.
+func (s *State) Forget(now snipeford.Instant, node snipeford.NodeID) {
+	for call, j := range s.jobs {
+		if j.ask.Node == node {
+			s.End(now, call, false, "")
+		}
+	}
+}
--- /dev/null
+++ b/internal/request/relay/plain.go
@@ -0,0 +1,183 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+
+	"snipeford"
+	"snipeford/internal/upstream/connection"
+)
+
+const (
+	// longestAnswer bounds the answer of a plain service, in bytes.
+	longestAnswer = 8 << 20
+	// mostTries bounds the upstreams that are asked for one request, those that
+	// did not run it included.
+	mostTries = 4
+)
+
+// answer is an upstream's whole answer.
+type answer struct {
+	status int
+	header http.Header
+	head   snipeford.AnswerHead
+	body   []byte
+}
+
+var errLongAnswer = errors.New("answer is too long")
+
+// servePlain gets the whole answer before any of it is passed on, so that a
+// safe request can be repeated.
+func (c *call) servePlain(name snipeford.ServiceName) {
+	for c.tries < mostTries {
+		if c.over() {
+			return
+		}
+		id, ok := c.Balancer.Pick(c.view, name, c.excluded)
+		if !ok {
+			break
+		}
+		if c.tries > 0 && !c.Balancer.Repeat(name) {
+			c.Log.Decided("no repeat left in the budget", c.head.Request, "Service", name)
+			c.Balancer.Ended(id, false)
+			break
+		}
+		a, err := c.tryPlain(name, id)
+		if c.settled(a, err) {
+			return
+		}
+		c.excluded = append(c.excluded, id)
+	}
+	c.finishPlain()
+}
+
+// tryPlain sends the request to one upstream.
+func (c *call) tryPlain(name snipeford.ServiceName, id snipeford.UpstreamID) (*answer, error) {
+	c.tries++
+	if c.tries > 1 {
+		c.Counts.Repeated(c.route.Kind)
+	}
+	x, err := c.Pool.Do(c.ctx, c.address(name, id), c.request(snipeford.AttemptHead{Upstream: id}), c.Dialect)
+	if err != nil {
+		var f *connection.Failure
+		if errors.As(err, &f) && f.Sent {
+			c.attempts++
+		}
+		c.Balancer.Ended(id, c.ctx.Err() == nil)
+		return nil, err
+	}
+	defer x.Close()
+	a, err := readAnswer(x)
+	if x.Head.HasLoad {
+		c.Balancer.Reported(id, x.Head.Running+x.Head.Waiting)
+	}
+	if !x.Head.NotRun {
+		c.attempts++
+	}
+	c.Balancer.Ended(id, (err != nil || x.Head.NotRun) && c.ctx.Err() == nil)
+	return a, err
+}
+
+func readAnswer(x *connection.Exchange) (*answer, error) {
+	body, err := io.ReadAll(io.LimitReader(x, longestAnswer+1))
+	if err != nil {
+		return nil, fmt.Errorf("read answer: %w", err)
+	}
+	if len(body) > longestAnswer {
+		return nil, errLongAnswer
+	}
+	return &answer{x.Status, x.Header, x.Head, body}, nil
+}
+
+// settled passes an answer on, or reports that another upstream may be asked.
+func (c *call) settled(a *answer, err error) bool {
+	if err != nil {
+		return c.settleFailure(err)
+	}
+	if a.head.NotRun {
+		c.Log.Decided("upstream did not run the request", c.head.Request, "Status", a.status)
+		return false
+	}
+	good := a.status < http.StatusInternalServerError
+	if good && (a.head.Sealed || a.status >= http.StatusMultipleChoices) {
+		c.pass(a)
+		return true
+	}
+	c.Log.Decided("upstream failed the request", c.head.Request, "Status", a.status, "Sealed", a.head.Sealed, "Attempts", c.attempts)
+	c.last = a
+	return !c.mayRepeat() && c.finishPlain()
+}
+
+// settleFailure handles an exchange without an answer.
+func (c *call) settleFailure(err error) bool {
+	if c.over() {
+		return true
+	}
+	c.Log.Decided("upstream gave no answer", c.head.Request, "Error", err, "Attempts", c.attempts)
+	if c.attempts == 0 {
+		return false
+	}
+	return !c.mayRepeat() && c.finishPlain()
+}
+
+// mayRepeat reports whether a request that may have run may run again.
+func (c *call) mayRepeat() bool {
+	return c.route.Idempotent() && c.attempts < c.route.Attempts
+}
+
+// finishPlain gives the final answer where no upstream gave a good one.
+func (c *call) finishPlain() bool {
+	switch {
+	case c.last != nil && !promises(c.last.status) && c.last.status >= http.StatusInternalServerError:
+		c.pass(c.last)
+	case c.attempts > 0:
+		c.refuse(failed("no upstream answered"))
+	default:
+		c.refuse(overloaded(soon))
+	}
+	return true
+}
+
+// promises reports whether a status says that the request did not run.
+func promises(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// pass passes an upstream's answer on unchanged.
+func (c *call) pass(a *answer) {
+	took := c.Timer.Now().Sub(c.start)
+	c.Counts.Answered(c.route.Kind, took, took)
+	copyHeader(c.w.Header(), a.header)
+	c.w.WriteHeader(a.status)
+	if _, err := c.w.Write(a.body); err != nil {
+		c.Log.Decided("caller left before its answer", c.head.Request, "Error", err)
+	}
+}
+
+// connectionHeaders concern one connection alone.
+var connectionHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		if !slices.Contains(connectionHeaders, name) {
+			to[name] = values
+		}
+	}
+}
+
+// address returns where the upstream listens.
+func (c *call) address(name snipeford.ServiceName, id snipeford.UpstreamID) string {
+	for _, u := range c.view.Usable[name] {
+		if u.ID == id {
+			return u.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/request/relay/server.go
@@ -0,0 +1,226 @@
+// Package relay serves callers on the users' platform: it finds the route and
+// the organisation of a request, sends it to an upstream and passes the answer
+// on as it arrives.
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/control/directory"
+	"snipeford/internal/control/freshness"
+	"snipeford/internal/control/timer"
+	"snipeford/internal/operate/decision"
+	"snipeford/internal/rule/plan"
+	"snipeford/internal/upstream/connection"
+)
+
+// Placer finds engines for requests.
+type Placer interface {
+	Place(ctx context.Context, ask snipeford.PlaceAsk) (snipeford.Placement, snipeford.NodeID)
+	Began(name snipeford.ServiceName, call snipeford.RequestID)
+	Ended(name snipeford.ServiceName, call snipeford.RequestID, failed bool, fault snipeford.UpstreamID)
+}
+
+// Balancer finds upstreams of plain services and bounds repeats.
+type Balancer interface {
+	Pick(v *directory.View, name snipeford.ServiceName, excluded []snipeford.UpstreamID) (snipeford.UpstreamID, bool)
+	Ended(id snipeford.UpstreamID, failed bool)
+	Reported(id snipeford.UpstreamID, busy int)
+	Offer(name snipeford.ServiceName)
+	Repeat(name snipeford.ServiceName) bool
+}
+
+// Counts is told of each finished request.
+type Counts interface {
+	Answered(kind snipeford.RouteKind, firstByte, whole time.Duration)
+	Refused(kind snipeford.RouteKind, cause snipeford.Cause)
+	Broken(kind snipeford.RouteKind)
+	Repeated(kind snipeford.RouteKind)
+}
+
+// Server takes callers' requests.
+type Server struct {
+	Node     snipeford.NodeID
+	Domain   snipeford.FailureDomain
+	View     func() *directory.View
+	Fresh    *freshness.Clock
+	Timer    *timer.Service
+	Pool     *connection.Pool
+	Dialect  snipeford.Dialect
+	Placer   Placer
+	Balancer Balancer
+	Memory   snipeford.Reservations
+	Counts   Counts
+	Log      *decision.Log
+	// KeyAge is how old the knowledge of keys may be, and AbsenceAge how old
+	// that of what is not there.
+	KeyAge     time.Duration
+	AbsenceAge time.Duration
+	// Leaving nodes answer on connections that they close.
+	Leaving atomic.Bool
+	active  atomic.Int64
+}
+
+const (
+	// defaultPatience stands in for a caller that does not say how long it
+	// waits.
+	defaultPatience = 10 * time.Second
+	// longestBody bounds a body where the routing sets no limit, in bytes.
+	longestBody = 4 << 20
+	// soon is when a caller may come back after a trouble of this node alone.
+	soon = 300 * time.Millisecond
+)
+
+// Active returns how many requests are being served.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// call is one caller's request on its way.
+type call struct {
+	*Server
+	w      http.ResponseWriter
+	r      *http.Request
+	ctx    context.Context
+	head   snipeford.CallHead
+	view   *directory.View
+	route  *snipeford.Route
+	org    snipeford.Organisation
+	rank   int
+	body   []byte
+	start  snipeford.Instant
+	giveUp snipeford.Instant
+	// attempts counts the upstreams that may have run the request, and tries
+	// all that were asked.
+	attempts int
+	tries    int
+	excluded []snipeford.UpstreamID
+	// last is the final answer of an upstream that failed the request.
+	last *answer
+}
+
+// ServeHTTP serves one request.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.active.Add(1)
+	defer s.active.Add(-1)
+	c := &call{Server: s, w: w, r: r, head: s.Dialect.ReadCall(r.Header), view: s.View(), start: s.Timer.Now()}
+	if s.Leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	if refusal := c.admit(); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
+	ctx, cancel := context.WithTimeoutCause(r.Context(), c.giveUp.Sub(c.start), errGiveUp)
+	defer cancel()
+	c.ctx = ctx
+	c.serve()
+}
+
+// errGiveUp is the cause of a context that ended at the request's time limit.
+var errGiveUp = errors.New("time limit of the request")
+
+// admit finds route and organisation, and reads the body.
+func (c *call) admit() *refusal {
+	if c.view.Plan == nil {
+		return notReady("no routing known")
+	}
+	c.route = c.view.Plan.Route(c.r.Host, c.r.URL.Path)
+	if c.route == nil {
+		return c.absent(http.StatusNotFound, snipeford.CauseUnknownService)
+	}
+	if refusal := c.authenticate(); refusal != nil {
+		return refusal
+	}
+	patience := c.head.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if c.route.Timeout > 0 {
+		patience = min(patience, c.route.Timeout)
+	}
+	c.giveUp = c.start.Add(patience)
+	return c.readBody()
+}
+
+// absent answers that something is not there, where the knowledge of that is
+// recent enough.
+func (c *call) absent(status int, cause snipeford.Cause) *refusal {
+	age, ok := c.Fresh.Age(c.Timer.Elapsed())
+	if !ok || age > c.AbsenceAge {
+		return notReady("knowledge of what is not there is too old")
+	}
+	return &refusal{status: status, cause: cause}
+}
+
+// authenticate finds the organisation that holds the key.
+func (c *call) authenticate() *refusal {
+	if c.route.Anonymous || !c.view.Plan.Keyed() {
+		c.rank = c.route.Priority
+		return nil
+	}
+	if age, ok := c.Fresh.Age(c.Timer.Elapsed()); !ok || age > c.KeyAge {
+		return notReady("knowledge of keys is too old")
+	}
+	holder := c.view.Plan.Holder(c.head.Key)
+	if holder == nil {
+		return c.absent(http.StatusUnauthorized, snipeford.CauseUnknownKey)
+	}
+	c.org, c.rank = holder.Organisation, c.route.Priority
+	if holder.HasPriority {
+		c.rank = holder.Priority
+	}
+	return nil
+}
+
+func (c *call) readBody() *refusal {
+	limit := c.view.Plan.Limits.BodyBytes
+	if limit <= 0 {
+		limit = longestBody
+	}
+	if c.r.ContentLength > limit {
+		return &refusal{status: http.StatusRequestEntityTooLarge, cause: snipeford.CauseTooLarge}
+	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	var long *http.MaxBytesError
+	switch {
+	case errors.As(err, &long):
+		return &refusal{status: http.StatusRequestEntityTooLarge, cause: snipeford.CauseTooLarge}
+	case err != nil:
+		c.Log.Decided("request not read", c.head.Request, "Error", err)
+		return &refusal{status: http.StatusBadRequest, cause: snipeford.CauseBadRequest}
+	}
+	c.body = body
+	return nil
+}
+
+// serve sends the request to the service that the route draws for it.
+func (c *call) serve() {
+	name := plan.Pick(c.route, rand.Float64())
+	c.Balancer.Offer(name)
+	if c.route.Kind == snipeford.RouteStream {
+		newStream(c, name).serve()
+		return
+	}
+	c.servePlain(name)
+}
+
+// left returns how long the request may still take.
+func (c *call) left() time.Duration { return c.giveUp.Sub(c.Timer.Now()) }
+
+// request returns the request for an upstream.
+func (c *call) request(a snipeford.AttemptHead) connection.Request {
+	a.Organisation, a.TimeLeft = c.org, c.left()
+	return connection.Request{
+		ID: c.head.Request, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
+		Header: c.Dialect.WriteAttempt(c.r.Header, a), Body: c.body,
+	}
+}
--- /dev/null
+++ b/internal/request/relay/stream.go
@@ -0,0 +1,289 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/control/directory"
+	"snipeford/internal/request/event"
+	"snipeford/internal/upstream/connection"
+)
+
+// stream is one streamed request. One answer may be put together from several
+// upstreams' streams.
+type stream struct {
+	*call
+	name  snipeford.ServiceName
+	flush *http.ResponseController
+	// begun is set once the head of the answer has been passed on.
+	begun bool
+	// lastEvent is the id of the last event that the caller has, and lastID its
+	// number.
+	lastEvent string
+	lastID    int64
+	events    int
+	firstByte time.Duration
+	longest   time.Duration
+	lastAt    snipeford.Instant
+}
+
+func newStream(c *call, name snipeford.ServiceName) *stream {
+	s := &stream{call: c, name: name, flush: http.NewResponseController(c.w), lastEvent: c.head.LastEvent, lastID: -1}
+	s.noteID(c.head.LastEvent)
+	return s
+}
+
+func (s *stream) noteID(id string) {
+	if n, err := strconv.ParseInt(id, 10, 64); err == nil {
+		s.lastID = n
+	}
+}
+
+// serve tries upstreams until the answer is whole or none is left.
+func (s *stream) serve() {
+	for s.tries < mostTries {
+		if s.ctx.Err() != nil {
+			break
+		}
+		if s.tries > 0 && !s.Balancer.Repeat(s.name) {
+			s.Log.Decided("no repeat left in the budget", s.head.Request, "Service", s.name)
+			break
+		}
+		p, refused := s.place()
+		if refused != nil {
+			s.finish(refused)
+			return
+		}
+		if s.try(p) {
+			return
+		}
+		if s.attempts > 0 && !s.mayRepeat() {
+			break
+		}
+	}
+	s.finish(nil)
+}
+
+// place finds an engine for the next attempt, or a balanced upstream where the
+// service has none.
+func (s *stream) place() (snipeford.Placement, *refusal) {
+	s.view = s.View()
+	if s.view.Plan.Service(s.name).Engine == nil {
+		id, ok := s.Balancer.Pick(s.view, s.name, s.excluded)
+		if !ok {
+			return snipeford.Placement{}, overloaded(soon)
+		}
+		return snipeford.Placement{Call: s.head.Request, Upstream: id}, nil
+	}
+	p, by := s.Placer.Place(s.ctx, snipeford.PlaceAsk{
+		Call: s.head.Request, Domain: s.Domain, Service: s.name,
+		Prompt: s.head.Prompt, Output: s.head.MaxOutput,
+		Target: s.target(), MaxPause: s.route.MaxPause,
+		Patience: s.left(), Priority: s.rank, Excluded: s.excluded,
+	})
+	if p.Refused {
+		s.Log.Decided("no place", s.head.Request, "By", by, "PromptTokens", s.head.Prompt)
+		return p, overloaded(max(p.RetryAfter, soon))
+	}
+	if s.tries > 0 || len(p.Helpers) > 0 {
+		s.Log.Decided("placed", s.head.Request, "By", by, "Upstream", p.Upstream, "Helpers", len(p.Helpers), "PromptTokens", s.head.Prompt, "Try", s.tries+1)
+	}
+	return p, nil
+}
+
+// target returns how long the next event may take to be timely.
+func (s *stream) target() time.Duration {
+	if s.begun {
+		return s.route.MaxPause
+	}
+	return max(s.route.Target-s.Timer.Now().Sub(s.start), 0)
+}
+
+// try sends the request to the placed upstream and relays its stream. It
+// reports whether the request is settled.
+func (s *stream) try(p snipeford.Placement) bool {
+	s.tries++
+	if s.tries > 1 {
+		s.Counts.Repeated(s.route.Kind)
+	}
+	x, err := s.send(p)
+	if err != nil {
+		return s.lost(p, err)
+	}
+	defer x.Close()
+	switch {
+	case x.Head.NotRun:
+		s.end(p, true, x.Head.Fault)
+		s.exclude(p, x.Head.Fault)
+		s.Log.Decided("upstream did not run the request", s.head.Request, "Upstream", p.Upstream, "Status", x.Status, "Fault", x.Head.Fault)
+		return false
+	case x.Status != http.StatusOK || !x.Head.Sealed:
+		return s.rejected(p, x)
+	}
+	s.attempts++
+	return s.relay(p, x)
+}
+
+func (s *stream) send(p snipeford.Placement) (*connection.Exchange, error) {
+	u, ok := s.find(p.Upstream)
+	if !ok {
+		return nil, &connection.Failure{Err: errUnknownUpstream}
+	}
+	head := snipeford.AttemptHead{Upstream: u.ID, LastEvent: s.lastEvent, Priority: p.Priority, HasPriority: p.Priority > 0}
+	for _, id := range p.Helpers {
+		if helper, ok := s.find(id); ok {
+			head.Helpers = append(head.Helpers, snipeford.Helper{Address: helper.Address})
+		}
+	}
+	return s.Pool.Do(s.ctx, u.Address, s.request(head), s.Dialect)
+}
+
+var errUnknownUpstream = errors.New("upstream is not known here")
+
+func (s *stream) find(id snipeford.UpstreamID) (directory.Upstream, bool) {
+	list := s.view.Usable[s.name]
+	i := slices.IndexFunc(list, func(u directory.Upstream) bool { return u.ID == id })
+	if i < 0 {
+		return directory.Upstream{}, false
+	}
+	return list[i], true
+}
+
+// lost handles an attempt without an answer.
+func (s *stream) lost(p snipeford.Placement, err error) bool {
+	var f *connection.Failure
+	if errors.As(err, &f) && f.Sent {
+		s.attempts++
+	}
+	s.end(p, s.ctx.Err() == nil, "")
+	s.exclude(p, "")
+	s.Log.Decided("upstream gave no answer", s.head.Request, "Upstream", p.Upstream, "Error", err, "Attempts", s.attempts)
+	return false
+}
+
+// rejected handles an answer that is no stream.
+func (s *stream) rejected(p snipeford.Placement, x *connection.Exchange) bool {
+	s.attempts++
+	s.end(p, true, x.Head.Fault)
+	s.exclude(p, x.Head.Fault)
+	a, err := readAnswer(x)
+	s.Log.Decided("upstream failed the request", s.head.Request, "Upstream", p.Upstream, "Status", x.Status, "Error", err)
+	if err == nil && !s.begun && x.Status < http.StatusInternalServerError && x.Status >= http.StatusMultipleChoices && !promises(x.Status) {
+		s.pass(a)
+		return true
+	}
+	if err == nil {
+		s.last = a
+	}
+	return false
+}
+
+func (s *stream) exclude(p snipeford.Placement, fault snipeford.UpstreamID) {
+	s.excluded = append(s.excluded, p.Upstream)
+	if fault != "" && fault != p.Upstream {
+		s.excluded = append(s.excluded, fault)
+	}
+}
+
+func (s *stream) end(p snipeford.Placement, failed bool, fault snipeford.UpstreamID) {
+	if s.view.Plan.Service(s.name).Engine == nil {
+		s.Balancer.Ended(p.Upstream, failed)
+		return
+	}
+	s.Placer.Ended(s.name, p.Call, failed, fault)
+}
+
+// relay passes whole events on until the stream ends.
+func (s *stream) relay(p snipeford.Placement, x *connection.Exchange) bool {
+	events := event.NewReader(x)
+	first := true
+	for {
+		e, err := events.Next()
+		if errors.Is(err, io.EOF) {
+			s.end(p, false, "")
+			return s.complete(x)
+		}
+		if err != nil {
+			s.end(p, s.ctx.Err() == nil, "")
+			s.exclude(p, "")
+			s.Log.Decided("stream broke", s.head.Request, "Upstream", p.Upstream, "Error", err, "Events", s.events, "LastEvent", s.lastEvent)
+			return false
+		}
+		if first {
+			first = false
+			s.Placer.Began(s.name, p.Call)
+		}
+		if !s.write(x, e) {
+			s.end(p, false, "")
+			s.over()
+			s.abort("caller left", s.ctx.Err())
+		}
+	}
+}
+
+// write passes one event on, unless the caller has it already.
+func (s *stream) write(x *connection.Exchange, e event.Event) bool {
+	if n, err := strconv.ParseInt(e.ID, 10, 64); err == nil {
+		if n <= s.lastID {
+			return true
+		}
+		s.lastID = n
+	}
+	if e.ID != "" {
+		s.lastEvent = e.ID
+	}
+	now := s.Timer.Now()
+	if !s.begun {
+		s.begun = true
+		s.firstByte = now.Sub(s.start)
+		copyHeader(s.w.Header(), x.Header)
+		s.w.Header().Del("Content-Length")
+		s.w.WriteHeader(x.Status)
+	} else {
+		s.longest = max(s.longest, now.Sub(s.lastAt))
+	}
+	s.lastAt = now
+	s.events++
+	if _, err := s.w.Write(e.Raw); err != nil {
+		return false
+	}
+	return s.flush.Flush() == nil
+}
+
+// complete ends a stream that its upstream ended.
+func (s *stream) complete(x *connection.Exchange) bool {
+	if !s.begun {
+		s.begun = true
+		copyHeader(s.w.Header(), x.Header)
+		s.w.WriteHeader(x.Status)
+	}
+	took := s.Timer.Now().Sub(s.start)
+	s.Counts.Answered(s.route.Kind, s.firstByte, took)
+	if s.firstByte > s.route.Target || s.longest > s.route.MaxPause {
+		s.Log.Decided("answer late", s.head.Request, "FirstEventMs", s.firstByte.Milliseconds(), "LongestPauseMs", s.longest.Milliseconds(),
+			"TargetMs", s.route.Target.Milliseconds(), "MaxPauseMs", s.route.MaxPause.Milliseconds(), "PromptTokens", s.head.Prompt)
+	}
+	return true
+}
+
+// finish gives the final answer where the stream is not whole.
+func (s *stream) finish(refused *refusal) {
+	switch {
+	case s.begun:
+		s.abort("no upstream goes on with the stream", s.ctx.Err())
+	case s.over():
+	case refused != nil && s.attempts == 0:
+		s.refuse(refused)
+	case s.last != nil && !promises(s.last.status) && s.last.status >= http.StatusInternalServerError:
+		s.pass(s.last)
+	case s.attempts > 0:
+		s.refuse(failed("no upstream answered"))
+	default:
+		s.refuse(overloaded(soon))
+	}
+}
--- /dev/null
+++ b/placement.go
@@ -0,0 +1,48 @@
+package snipeford
+
+import "time"
+
+// PlaceAsk asks where a request to a model engine shall run.
+type PlaceAsk struct {
+	Call RequestID
+	// Node is the entry node, which sends the request itself.
+	Node    NodeID
+	Domain  FailureDomain
+	Service ServiceName
+	Prompt  Tokens
+	Output  Tokens
+	// Target is how long the first event may take from now to be timely, and
+	// MaxPause the longest timely pause between two events.
+	Target   time.Duration
+	MaxPause time.Duration
+	// Patience is how long the caller still waits.
+	Patience time.Duration
+	Priority int
+	// Excluded upstreams have failed this request.
+	Excluded []UpstreamID
+}
+
+// Placement says where a request runs.
+type Placement struct {
+	Call     RequestID
+	Upstream UpstreamID
+	// Helpers read parts of the prompt.
+	Helpers []UpstreamID
+	// Reserve is the memory that the upstream and each helper set aside under
+	// one ticket each, zero where the prompt fits the first engine.
+	Reserve  Tokens
+	Priority int
+	// Refused placements name no upstream; RetryAfter says when to come back.
+	Refused    bool
+	RetryAfter time.Duration
+}
+
+// PlacedCall is a request that runs, as its entry node tells a new home.
+type PlacedCall struct {
+	Ask       PlaceAsk
+	Placement Placement
+	// Age is how long ago it was sent.
+	Age time.Duration
+	// Writing requests have sent their first event.
+	Writing bool
+}
--- /dev/null
+++ b/routing.go
@@ -0,0 +1,117 @@
+package snipeford
+
+import "time"
+
+// RouteKind says what may be repeated of the requests on a route.
+type RouteKind string
+
+// Kinds of route.
+const (
+	// RouteSafe requests may run more than once.
+	RouteSafe RouteKind = "Safe"
+	// RouteUnsafe requests run at most once.
+	RouteUnsafe RouteKind = "Unsafe"
+	// RouteStream requests are answered by a stream of events. They run at most
+	// once, unless the route is resumable.
+	RouteStream RouteKind = "Stream"
+)
+
+// Share is the part of a route's requests that a service gets.
+type Share struct {
+	Service ServiceName
+	Weight  float64
+}
+
+// Route is one rule of the operators' routing: which requests it takes, where
+// they go and how long they may take.
+type Route struct {
+	Name string
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   RouteKind
+	Shares []Share
+	// Resumable streams may go on at another upstream after a given event.
+	Resumable bool
+	// Anonymous routes take requests without a key.
+	Anonymous bool
+	// Attempts is how many upstreams one request may be sent to.
+	Attempts int
+	// Timeout is the longest that a caller is kept waiting.
+	Timeout time.Duration
+	// Target is the time to the answer, or to a stream's first event, within
+	// which an answer counts as timely.
+	Target time.Duration
+	// MaxPause is the longest pause between two events of a timely stream.
+	MaxPause time.Duration
+	// Priority is the route's rank; 0 goes first.
+	Priority int
+}
+
+// Idempotent reports whether a request on the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Kind == RouteSafe || r.Kind == RouteStream && r.Resumable
+}
+
+// Access is what operators allow one organisation on the users' platform.
+type Access struct {
+	Organisation Organisation
+	Keys         []string
+	// Priority takes precedence over the route's where HasPriority is set.
+	Priority    int
+	HasPriority bool
+}
+
+// EngineProfile gives the speed and size of a service's model engines.
+type EngineProfile struct {
+	// Slots is how many requests an engine runs at once.
+	Slots  int
+	Memory Tokens
+	// Step is the time of one token step, PerWriter what each request that
+	// writes adds to it, and PerThousand what each 1,000 tokens of context of
+	// such a request add.
+	Step, PerWriter, PerThousand time.Duration
+	// ReadRate is the speed of reading prompts, in tokens a second.
+	ReadRate TokensPerSecond
+	// PerMillionPairs is what a million pairs of a prompt token and an earlier
+	// one add to reading.
+	PerMillionPairs time.Duration
+	// Chunk bounds the prompt tokens of one step, and Stride is how many steps
+	// a pass has in which a request writes.
+	Chunk  Tokens
+	Stride int
+	// JointHop is what joint reading adds to each step of the first engine.
+	JointHop time.Duration
+	// Joint engines can read one prompt together.
+	Joint bool
+}
+
+// ServiceProfile is what operators say of one service.
+type ServiceProfile struct {
+	Name           ServiceName
+	MaxConnections int
+	// ColdPeriod is how long an upstream stays cold after its start, and
+	// ColdRate the requests a second that it bears meanwhile.
+	ColdPeriod time.Duration
+	ColdRate   float64
+	// Engine is set where the upstreams are model engines.
+	Engine *EngineProfile
+}
+
+// CallerLimits bound what a caller may send.
+type CallerLimits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Routing is one version of the operators' configuration on the users'
+// platform.
+type Routing struct {
+	Version  Version
+	Routes   []Route
+	Services []ServiceProfile
+	Access   []Access
+	Limits   CallerLimits
+}
--- a/upstream.go
+++ b/upstream.go
@@ -22,6 +22,12 @@
 	Memory        Tokens
 	HonoursFences bool
 	Leaving       bool
+	// Slots is how many requests it runs at once, as it says itself.
+	Slots int
+	// Incarnation tells its starts apart.
+	Incarnation Incarnation
+	// ColdLeft is how much longer it is cold.
+	ColdLeft time.Duration
 }
 
 // Group returns the group that an engine belongs to.
