Derive an engine's reading backlog from the jobs that are there

Cause: each placement added its reading to an instant until which an engine is busy; the first event of a jointly read prompt cleared it at the first engine alone. Ruled out: memory (no engine over 300,000 of 315,000 tokens), cold rate.

--- a/exchange.go
+++ b/exchange.go
@@ -50,8 +50,9 @@
 	Sealed bool
 	// NotRun answers promise that the request did not run.
 	NotRun bool
-	// Fault names the upstream at fault where that is another one.
-	Fault UpstreamID
+	// FaultAddress is the address of the upstream at fault where that is another
+	// one, such as a helper.
+	FaultAddress string
 	// Running, Waiting and Slots tell the load where HasLoad is set.
 	Running, Waiting, Slots int
 	HasLoad                 bool
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -29,6 +29,9 @@
 	packing = 0.6
 	// otherDomain is what an engine in another failure domain costs.
 	otherDomain = 0.004
+	// leastPart is the shortest part, in tokens, that a helper reads: engines
+	// help few requests at once, until their ends.
+	leastPart = 8_000
 	// mostHelpers is the most helpers that engines take.
 	mostHelpers = 16
 	// memoryUse is the share of an engine's memory that is given away.
@@ -46,8 +49,10 @@
 // option is one engine as seen by one request.
 type option struct {
 	r *replica
-	// finish is when its part would be read, in milliseconds from now.
+	// finish is when its part would be read if it helps, in milliseconds from
+	// now, and base the time of a pass of token steps.
 	finish float64
+	base   float64
 	// first is when the first event would come if it wrote the answer.
 	first float64
 	harm  float64
@@ -78,7 +83,7 @@
 		if helpers+1 > len(usable) || helpers > mostHelpers || helpers > 0 && !s.model.Joint {
 			break
 		}
-		if helpers > 0 && ask.Prompt/snipeford.Tokens(helpers+1) < s.model.Chunk {
+		if helpers > 0 && ask.Prompt/snipeford.Tokens(helpers+1) < leastPart {
 			break
 		}
 		p, l, first, ok := s.weigh(now, ask, usable, helpers)
@@ -128,13 +133,11 @@
 func (s *State) weigh(now snipeford.Instant, ask snipeford.PlaceAsk, usable []*replica, helpers int) (snipeford.Placement, float64, float64, bool) {
 	part := s.model.reading(ask.Prompt) / float64(helpers+1)
 	options := make([]option, 0, len(usable))
-	for _, r := range usable {
-		options = append(options, s.option(now, ask, r, part))
-	}
 	w := weight(ask.Prompt)
-	for i := range options {
-		o := &options[i]
+	for _, r := range usable {
+		o := s.option(now, ask, r, part)
 		o.score = o.harm + w*lateness(o.first, ms(ask.Target)) + w*hastening*o.first/math.Max(ms(ask.Target), 1)
+		options = append(options, o)
 	}
 	slices.SortFunc(options, func(a, b option) int { return cmp.Compare(a.score, b.score) })
 	chosen := options[:helpers+1]
@@ -150,14 +153,13 @@
 func (s *State) option(now snipeford.Instant, ask snipeford.PlaceAsk, r *replica, part float64) option {
 	n, context := r.writers()
 	base := s.model.pass(n+1, context+ask.Prompt) * r.pace
-	backlog := r.backlog(now)
+	backlog, parts := r.backlog(now)
 	part *= r.pace
 	residual := 0.0
 	if n > 0 || backlog > 0 {
 		residual = base / 2
 	}
-	o := option{r: r, finish: callerHop + residual + backlog + part}
-	o.first = o.finish + base
+	o := option{r: r, base: base, finish: callerHop + residual + parts + part, first: callerHop + residual + backlog + part + base}
 	if waiting := len(r.jobs) - s.model.Slots; waiting >= 0 && s.model.Slots > 0 {
 		o.first += float64(waiting+1) * base * slotTurn
 	}
@@ -256,7 +258,7 @@
 func finish(chosen []option) float64 {
 	last := chosen[0].first
 	for _, o := range chosen[1:] {
-		last = math.Max(last, o.finish+chosen[0].first-chosen[0].finish)
+		last = math.Max(last, o.finish+chosen[0].base)
 	}
 	return last
 }
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"math"
+	"slices"
 	"time"
 
 	"snipeford"
@@ -38,8 +38,10 @@
 	// jobs write here, or will; parts are the jobs that it helps to read.
 	jobs  map[snipeford.RequestID]*job
 	parts map[snipeford.RequestID]*job
-	// busyUntil is when all reading that was placed here should be done.
-	busyUntil snipeford.Instant
+	// reads is the reading that was placed here and should not be done yet, in
+	// the engine's order: helpers' parts go ahead. It stands as of readsAt.
+	reads   []read
+	readsAt snipeford.Instant
 	// pace is the measured time of first events over the predicted one.
 	pace float64
 	// suspectUntil is until when it gets no request, after failures in a row.
@@ -67,14 +69,58 @@
 	}
 }
 
-// backlog returns the reading that is still to be done, in milliseconds.
-func (r *replica) backlog(now snipeford.Instant) float64 {
-	return math.Max(0, ms(r.busyUntil.Sub(now)))
+// read is the reading of one job's part, with what is left in milliseconds.
+type read struct {
+	job    *job
+	helper bool
+	left   float64
 }
 
-// addReading adds to the backlog.
-func (r *replica) addReading(now snipeford.Instant, milliseconds float64) {
-	r.busyUntil = max(r.busyUntil, now).Add(duration(milliseconds))
+// advance takes off the reading that the engine has done by now.
+func (r *replica) advance(now snipeford.Instant) {
+	spent := ms(now.Sub(r.readsAt))
+	r.readsAt = max(now, r.readsAt)
+	for len(r.reads) > 0 && spent > 0 {
+		if r.reads[0].left > spent {
+			r.reads[0].left -= spent
+			return
+		}
+		spent -= r.reads[0].left
+		r.reads = r.reads[1:]
+	}
+}
+
+// backlog returns the reading that is still to be done, in milliseconds, all
+// of it and that of helpers' parts.
+func (r *replica) backlog(now snipeford.Instant) (all, parts float64) {
+	r.advance(now)
+	for _, one := range r.reads {
+		all += one.left
+		if one.helper {
+			parts += one.left
+		}
+	}
+	return all, parts
+}
+
+// addReading adds a job's part to the reading.
+func (r *replica) addReading(now snipeford.Instant, j *job, helper bool) {
+	r.advance(now)
+	one := read{j, helper, j.part * r.pace}
+	at := len(r.reads)
+	if helper {
+		at = slices.IndexFunc(r.reads, func(o read) bool { return !o.helper })
+		if at < 0 {
+			at = len(r.reads)
+		}
+	}
+	r.reads = slices.Insert(slices.Clone(r.reads), at, one)
+}
+
+// dropReading takes a job's part off.
+func (r *replica) dropReading(now snipeford.Instant, j *job) {
+	r.advance(now)
+	r.reads = slices.DeleteFunc(slices.Clone(r.reads), func(o read) bool { return o.job == j })
 }
 
 func duration(milliseconds float64) time.Duration {
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -100,11 +100,11 @@
 	first := s.replica(p.Upstream)
 	first.jobs[ask.Call] = j
 	first.sent = append(first.sent, now)
-	first.addReading(now, j.part*first.pace)
+	first.addReading(now, j, false)
 	for _, id := range p.Helpers {
 		helper := s.replica(id)
 		helper.parts[ask.Call] = j
-		helper.addReading(now, j.part*helper.pace)
+		helper.addReading(now, j, true)
 	}
 	s.countLong(now, ask, whole)
 	return j
@@ -145,10 +145,8 @@
 	first := s.replica(j.placed.Upstream)
 	first.succeeded(now)
 	s.learnPace(first, j, took)
-	s.freeParts(j)
-	if !s.reads(first) {
-		first.busyUntil = min(first.busyUntil, now)
-	}
+	first.dropReading(now, j)
+	s.freeParts(now, j)
 }
 
 // learnPace compares a first event's time with the predicted one.
@@ -162,24 +160,16 @@
 	r.pace = max(r.pace, 1)
 }
 
-// reads reports whether a job's prompt is still read at the replica.
-func (s *State) reads(r *replica) bool {
-	for _, j := range r.jobs {
-		if j.stage == reading {
-			return true
-		}
-	}
-	return len(r.parts) > 0
-}
-
 // freeParts ends the helpers' reading. Helpers that hold memory for the job
 // keep it until its end.
-func (s *State) freeParts(j *job) {
-	if j.placed.Reserve > 0 {
-		return
-	}
+func (s *State) freeParts(now snipeford.Instant, j *job) {
 	for _, id := range j.placed.Helpers {
-		if r, ok := s.replicas[id]; ok {
+		r, ok := s.replicas[id]
+		if !ok {
+			continue
+		}
+		r.dropReading(now, j)
+		if j.placed.Reserve == 0 {
 			delete(r.parts, j.ask.Call)
 		}
 	}
@@ -195,9 +185,11 @@
 	delete(s.jobs, call)
 	first := s.replica(j.placed.Upstream)
 	delete(first.jobs, call)
+	first.dropReading(now, j)
 	for _, id := range j.placed.Helpers {
 		if r, ok := s.replicas[id]; ok {
 			delete(r.parts, call)
+			r.dropReading(now, j)
 		}
 	}
 	if failed {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"errors"
 	"io"
 	"net/http"
@@ -82,7 +83,7 @@
 	}
 	p, by := s.Placer.Place(s.ctx, snipeford.PlaceAsk{
 		Call: s.head.Request, Domain: s.Domain, Service: s.name,
-		Prompt: s.head.Prompt, Output: s.head.MaxOutput,
+		Prompt: s.head.Prompt, Output: s.output(),
 		Target: s.target(), MaxPause: s.route.MaxPause,
 		Patience: s.left(), Priority: s.rank, Excluded: s.excluded,
 	})
@@ -96,6 +97,15 @@
 	return p, nil
 }
 
+// output returns how long the answer may become: twice the caller's guess,
+// which is often far off, and no more than its limit.
+func (s *stream) output() snipeford.Tokens {
+	if s.head.LikelyOutput > 0 {
+		return min(2*s.head.LikelyOutput, s.head.MaxOutput)
+	}
+	return s.head.MaxOutput
+}
+
 // target returns how long the next event may take to be timely.
 func (s *stream) target() time.Duration {
 	if s.begun {
@@ -118,9 +128,10 @@
 	defer x.Close()
 	switch {
 	case x.Head.NotRun:
-		s.end(p, true, x.Head.Fault)
-		s.exclude(p, x.Head.Fault)
-		s.Log.Decided("upstream did not run the request", s.head.Request, "Upstream", p.Upstream, "Status", x.Status, "Fault", x.Head.Fault)
+		fault := s.fault(p, x)
+		s.end(p, true, fault)
+		s.exclude(p, fault)
+		s.Log.Decided("upstream did not run the request", s.head.Request, "Upstream", p.Upstream, "Status", x.Status, "Fault", fault)
 		return false
 	case x.Status != http.StatusOK || !x.Head.Sealed:
 		return s.rejected(p, x)
@@ -169,8 +180,9 @@
 // rejected handles an answer that is no stream.
 func (s *stream) rejected(p snipeford.Placement, x *connection.Exchange) bool {
 	s.attempts++
-	s.end(p, true, x.Head.Fault)
-	s.exclude(p, x.Head.Fault)
+	fault := s.fault(p, x)
+	s.end(p, true, fault)
+	s.exclude(p, fault)
 	a, err := readAnswer(x)
 	s.Log.Decided("upstream failed the request", s.head.Request, "Upstream", p.Upstream, "Status", x.Status, "Error", err)
 	if err == nil && !s.begun && x.Status < http.StatusInternalServerError && x.Status >= http.StatusMultipleChoices && !promises(x.Status) {
@@ -183,11 +195,22 @@
 	return false
 }
 
+// exclude leaves the upstream at fault out of the next attempt.
 func (s *stream) exclude(p snipeford.Placement, fault snipeford.UpstreamID) {
-	s.excluded = append(s.excluded, p.Upstream)
-	if fault != "" && fault != p.Upstream {
-		s.excluded = append(s.excluded, fault)
+	s.excluded = append(s.excluded, cmp.Or(fault, p.Upstream))
+}
+
+// fault returns the upstream at fault where that is not the placed one.
+func (s *stream) fault(p snipeford.Placement, x *connection.Exchange) snipeford.UpstreamID {
+	if x.Head.FaultAddress == "" {
+		return ""
+	}
+	for _, u := range s.view.Usable[s.name] {
+		if u.Address == x.Head.FaultAddress && u.ID != p.Upstream {
+			return u.ID
+		}
 	}
+	return ""
 }
 
 func (s *stream) end(p snipeford.Placement, failed bool, fault snipeford.UpstreamID) {
