Queue long prompts at the home, split the engines by need, serve timely ones first

Cause: long prompts were handed to engines at once, where they can't be reordered; short streams packed on few engines overran their slots, and prompts of 300,000 tokens and more held three engines for ten seconds. A learned pace fed on its own errors: an engine that looked slow got nothing and stayed slow. Change: engines modelled in passes (internal/emulate/pass) and a load on them under virtual time (internal/experiment/placing); a queue at the home ordered by what can still be timely; free engines and free slots only; giants get as few engines as serve them in time; memory for prompts beyond one engine is reserved, renewed and released; the learned pace is gone.

--- a/internal/control/placer/loop.go
+++ b/internal/control/placer/loop.go
@@ -107,6 +107,10 @@
 }
 
 func (l *Loop) answer(p snipeford.Placement) {
+	if p.Queued {
+		// Place waits anyhow.
+		return
+	}
 	l.mu.Lock()
 	waiting, ok := l.waiting[p.Call]
 	delete(l.waiting, p.Call)
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -76,8 +76,7 @@
 	s.out = s.out[:0]
 	switch e := e.(type) {
 	case Asked:
-		p := s.service(e.Ask.Service).Place(now, e.Ask)
-		s.out = append(s.out, Granted{e.Ask.Node, p})
+		s.ask(now, e.Ask)
 	case Adopted:
 		s.service(e.Call.Ask.Service).Adopt(now, e.Call)
 	case Began:
@@ -95,9 +94,27 @@
 			service.Tick(now)
 		}
 	}
+	for _, service := range s.services {
+		s.grant(service.Next(now))
+	}
 	return s.out
 }
 
+// ask places a request, or tells its node that it waits.
+func (s *State) ask(now snipeford.Instant, ask snipeford.PlaceAsk) {
+	placed := s.service(ask.Service).Ask(now, ask)
+	s.grant(placed)
+	if !slices.ContainsFunc(placed, func(p snipeford.Placement) bool { return p.Call == ask.Call }) {
+		s.out = append(s.out, Granted{ask.Node, snipeford.Placement{Call: ask.Call, Queued: true}})
+	}
+}
+
+func (s *State) grant(placed []snipeford.Placement) {
+	for _, p := range placed {
+		s.out = append(s.out, Granted{p.Node, p})
+	}
+}
+
 func (s *State) service(name snipeford.ServiceName) *placement.State {
 	if s.services == nil {
 		s.services = map[snipeford.ServiceName]*placement.State{}
@@ -160,5 +177,6 @@
 	return out
 }
 
-// tickEvery is the time between two Ticked events.
-const tickEvery = 500 * time.Millisecond
+// tickEvery is the time between two Ticked events: what waits is looked at
+// whenever something happens, and that often at least.
+const tickEvery = 25 * time.Millisecond
--- /dev/null
+++ b/internal/experiment/placing/load.go
@@ -0,0 +1,45 @@
+package placing
+
+import (
+	"time"
+
+	"snipeford"
+)
+
+// Profile is an engine of the kind that the users run.
+var Profile = snipeford.EngineProfile{
+	Slots: 16, Memory: 315_000,
+	Step: 850 * time.Microsecond, PerWriter: 4250 * time.Nanosecond, PerThousand: 2850 * time.Nanosecond,
+	ReadRate: 177_000, PerMillionPairs: 184 * time.Microsecond,
+	Chunk: 2_048, Stride: 51, JointHop: 50 * time.Microsecond, Joint: true,
+}
+
+// classes are Quindio's kinds of request at the given total rate of the site.
+func classes(scale float64) []Class {
+	return []Class{
+		{Name: "reply", PerSecond: 36.8 * scale, Prompt: 5_000, Spread: 0.9, Longest: 23_800, Events: 33, Target: 300 * time.Millisecond, MaxPause: 250 * time.Millisecond, Patience: 10 * time.Second, Worth: 1.3, Late: 0.33},
+		{Name: "review", PerSecond: 1.87 * scale, Prompt: 45_000, Spread: 0.5, Longest: 110_000, Events: 20, Target: 1500 * time.Millisecond, MaxPause: 600 * time.Millisecond, Patience: 10 * time.Second, Worth: 4.2, Late: 1},
+		{Name: "dossier", PerSecond: 1.13 * scale, Prompt: 154_000, Spread: 0.55, Longest: 700_000, Events: 16.5, Target: 3 * time.Second, MaxPause: time.Second, Patience: 15 * time.Second, Worth: 21, Late: 5.2},
+	}
+}
+
+// Factors of the users' bursts: short prompts by the hundred, or long ones.
+var (
+	longBurst  = []float64{0.33, 1.3, 2.8}
+	shortBurst = []float64{2.45, 0.5, 0.05}
+)
+
+// Alternating changes between bursts of long and of short prompts every ten
+// seconds, as Quindio's days do.
+func Alternating(scale float64) Load {
+	l := Load{Classes: classes(scale), Length: 60 * time.Second, Engines: 18, Profile: Profile}
+	for i := range 6 {
+		from := time.Duration(i) * 10 * time.Second
+		factors := longBurst
+		if i%2 == 1 {
+			factors = shortBurst
+		}
+		l.Bursts = append(l.Bursts, Burst{from, from + 10*time.Second, factors})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/experiment/placing/run.go
@@ -0,0 +1,304 @@
+// Package placing plays a load on modelled engines under virtual time and
+// measures what a placement makes of it, from what callers would see.
+package placing
+
+import (
+	"cmp"
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"snipeford"
+	"snipeford/internal/emulate/pass"
+	"snipeford/internal/policy/placement"
+)
+
+// Class is one kind of request.
+type Class struct {
+	Name      string
+	PerSecond float64
+	Prompt    float64
+	Spread    float64
+	Longest   float64
+	Events    float64
+	Target    time.Duration
+	MaxPause  time.Duration
+	Patience  time.Duration
+	// Worth is what a timely answer of mean size counts, Late what a late one
+	// does.
+	Worth, Late float64
+}
+
+// Burst multiplies the rate of each class for a time.
+type Burst struct {
+	From, To time.Duration
+	Factors  []float64
+}
+
+// Load is what callers send.
+type Load struct {
+	Classes []Class
+	Bursts  []Burst
+	Length  time.Duration
+	Engines int
+	Profile snipeford.EngineProfile
+}
+
+// Result is what callers of one class saw.
+type Result struct {
+	Class                          string
+	Asked, Timely, Late, Unserved  int
+	FirstLate, PauseLate           int
+	Credit, Owed                   float64
+	FirstP50, FirstP90, LongestP90 time.Duration
+}
+
+// Placer is the policy under test.
+type Placer interface {
+	Ask(now snipeford.Instant, ask snipeford.PlaceAsk) []snipeford.Placement
+	Next(now snipeford.Instant) []snipeford.Placement
+	First(now snipeford.Instant, call snipeford.RequestID)
+	End(now snipeford.Instant, call snipeford.RequestID, failed bool, fault snipeford.UpstreamID)
+}
+
+type request struct {
+	class   int
+	at      snipeford.Instant
+	prompt  snipeford.Tokens
+	output  snipeford.Tokens
+	job     *pass.Job
+	first   snipeford.Instant
+	last    snipeford.Instant
+	longest time.Duration
+	done    bool
+}
+
+// action is something that happens at an instant.
+type action struct {
+	at snipeford.Instant
+	do func()
+}
+
+type agenda []action
+
+func (a agenda) Len() int           { return len(a) }
+func (a agenda) Less(i, j int) bool { return a[i].at < a[j].at }
+func (a agenda) Swap(i, j int)      { a[i], a[j] = a[j], a[i] }
+func (a *agenda) Push(x any)        { *a = append(*a, x.(action)) }
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// overtime is how long after the last arrival the engines go on.
+const overtime = 20 * time.Second
+
+// hop is the time between a caller and an engine, one way.
+const hop = 4 * time.Millisecond
+
+type run struct {
+	load     Load
+	placer   Placer
+	agenda   agenda
+	now      snipeford.Instant
+	engines  map[snipeford.UpstreamID]*pass.Engine
+	working  map[*pass.Engine]bool
+	requests map[snipeford.RequestID]*request
+}
+
+// Candidates names the engines of a load.
+func Candidates(n int) []placement.Candidate {
+	var out []placement.Candidate
+	for i := range n {
+		out = append(out, placement.Candidate{ID: snipeford.UpstreamID("e" + strconv.Itoa(i))})
+	}
+	return out
+}
+
+// Run plays the load of a seed.
+func Run(load Load, placer Placer, seed uint64) []Result {
+	r := &run{load: load, placer: placer, engines: map[snipeford.UpstreamID]*pass.Engine{}, working: map[*pass.Engine]bool{}, requests: map[snipeford.RequestID]*request{}}
+	for _, c := range Candidates(load.Engines) {
+		r.engines[c.ID] = &pass.Engine{Profile: load.Profile}
+	}
+	r.arrivals(rand.New(rand.NewPCG(seed, 1)))
+	r.schedule(0, r.tick)
+	for len(r.agenda) > 0 && r.now < snipeford.Instant(load.Length+overtime) {
+		next := heap.Pop(&r.agenda).(action)
+		r.now = next.at
+		next.do()
+	}
+	return r.results()
+}
+
+func (r *run) schedule(at snipeford.Instant, do func()) { heap.Push(&r.agenda, action{at, do}) }
+
+func (r *run) arrivals(rng *rand.Rand) {
+	for i, class := range r.load.Classes {
+		at := 0.0
+		for n := 0; ; n++ {
+			at += rng.ExpFloat64() / (class.PerSecond * r.factor(i, at))
+			if at > r.load.Length.Seconds() {
+				break
+			}
+			id := snipeford.RequestID(class.Name + "-" + strconv.Itoa(n))
+			req := &request{class: i, at: snipeford.Instant(at * 1e9), prompt: draw(rng, class.Prompt, class.Spread, class.Longest), output: 51 * draw(rng, class.Events, 0.6, 2.5*class.Events)}
+			r.requests[id] = req
+			r.schedule(req.at.Add(hop), func() { r.arrive(id, req) })
+		}
+	}
+}
+
+func (r *run) factor(class int, at float64) float64 {
+	for _, b := range r.load.Bursts {
+		if at >= b.From.Seconds() && at < b.To.Seconds() {
+			return b.Factors[class]
+		}
+	}
+	return 1
+}
+
+// draw returns a size of a log-normal distribution with the mean.
+func draw(rng *rand.Rand, mean, spread, longest float64) snipeford.Tokens {
+	d := distuv.LogNormal{Mu: math.Log(mean) - spread*spread/2, Sigma: spread, Src: rng}
+	return snipeford.Tokens(max(1, min(d.Rand(), longest)))
+}
+
+func (r *run) arrive(id snipeford.RequestID, req *request) {
+	class := r.load.Classes[req.class]
+	waited := r.now.Sub(req.at)
+	if waited > class.Patience {
+		return
+	}
+	r.place(r.placer.Ask(r.now, snipeford.PlaceAsk{
+		Call: id, Prompt: req.prompt, Output: req.output, Target: max(0, class.Target-waited), MaxPause: class.MaxPause, Patience: class.Patience - waited,
+	}))
+}
+
+// place carries placements out.
+func (r *run) place(list []snipeford.Placement) {
+	for _, p := range list {
+		r.start(p.Call, r.requests[p.Call], p)
+	}
+}
+
+func (r *run) start(id snipeford.RequestID, req *request, p snipeford.Placement) {
+	if p.Refused {
+		r.schedule(r.now.Add(max(p.RetryAfter, 50*time.Millisecond)), func() { r.arrive(id, req) })
+		return
+	}
+	req.job = &pass.Job{ID: id, Prompt: req.prompt, Output: req.output}
+	var helpers []*pass.Engine
+	for _, h := range p.Helpers {
+		helpers = append(helpers, r.engines[h])
+	}
+	first := r.engines[p.Upstream]
+	first.Submit(req.job, helpers, p.Reserve)
+	for _, e := range append(helpers, first) {
+		r.work(e)
+	}
+}
+
+// work lets an idle engine start.
+func (r *run) work(e *pass.Engine) {
+	if r.working[e] || e.Idle() {
+		return
+	}
+	r.working[e] = true
+	took, events := e.Pass()
+	r.schedule(r.now.Add(max(took, time.Microsecond)), func() {
+		r.working[e] = false
+		for _, event := range events {
+			r.event(event)
+		}
+		r.work(e)
+	})
+}
+
+func (r *run) event(e pass.Event) {
+	req := r.requests[e.Job.ID]
+	seen := r.now.Add(hop)
+	if req.first == 0 {
+		req.first = seen
+		r.placer.First(seen, e.Job.ID)
+	} else {
+		req.longest = max(req.longest, seen.Sub(req.last))
+	}
+	req.last = seen
+	if e.Done {
+		req.done = true
+		r.placer.End(seen, e.Job.ID, false, "")
+	}
+	r.place(r.placer.Next(seen))
+}
+
+// tick lets the placer look at what waits.
+func (r *run) tick() {
+	r.place(r.placer.Next(r.now))
+	r.schedule(r.now.Add(tickEvery), r.tick)
+}
+
+// tickEvery is how often nodes do the same.
+const tickEvery = 25 * time.Millisecond
+
+func (r *run) results() []Result {
+	out := make([]Result, len(r.load.Classes))
+	firsts := make([][]time.Duration, len(out))
+	pauses := make([][]time.Duration, len(out))
+	for _, req := range r.requests {
+		class := r.load.Classes[req.class]
+		one := &out[req.class]
+		one.Class = class.Name
+		one.Asked++
+		size := min(4, 0.3+0.7*float64(req.prompt)/class.Prompt)
+		one.Owed += size * class.Worth
+		if !req.done || req.last.Sub(req.at) > class.Patience {
+			one.Unserved++
+			continue
+		}
+		first := req.first.Sub(req.at)
+		firsts[req.class] = append(firsts[req.class], first)
+		pauses[req.class] = append(pauses[req.class], req.longest)
+		switch {
+		case first > class.Target:
+			one.FirstLate++
+		case req.longest > class.MaxPause:
+			one.PauseLate++
+		default:
+			one.Timely++
+			one.Credit += size * class.Worth
+			continue
+		}
+		one.Late++
+		one.Credit += size * class.Late
+	}
+	for i := range out {
+		out[i].FirstP50, out[i].FirstP90, out[i].LongestP90 = quantile(firsts[i], 0.5), quantile(firsts[i], 0.9), quantile(pauses[i], 0.9)
+	}
+	return out
+}
+
+func quantile(list []time.Duration, q float64) time.Duration {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.SortFunc(list, func(a, b time.Duration) int { return cmp.Compare(a, b) })
+	return list[int(q*float64(len(list)-1))]
+}
+
+// Share returns the credit of all classes over what is owed.
+func Share(list []Result) float64 {
+	credit, owed := 0.0, 0.0
+	for _, one := range list {
+		credit += one.Credit
+		owed += one.Owed
+	}
+	return credit / owed
+}
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -122,7 +122,9 @@
 func (l *link) granted(p snipeford.Placement) {
 	l.mu.Lock()
 	waiting, ok := l.pending[p.Call]
-	delete(l.pending, p.Call)
+	if !p.Queued {
+		delete(l.pending, p.Call)
+	}
 	l.mu.Unlock()
 	if !ok {
 		// This node has decided itself, and its Adopt corrects the home.
@@ -199,7 +201,7 @@
 		l.mu.Unlock()
 		return nil, errGone
 	}
-	waiting := make(chan snipeford.Placement, 1)
+	waiting := make(chan snipeford.Placement, 2)
 	l.pending[a.Call] = waiting
 	l.mu.Unlock()
 	if err := w.send(Frame{Ask: &a}); err != nil {
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -154,26 +154,55 @@
 		return l.Loop.Place(ctx, ask), l.Self.Node
 	}
 	asked := l.Timer.Now()
-	if waiting, err := at.ask(ask); err == nil {
+	if p, ok := l.askHome(ctx, at, ask); ok {
+		l.Loop.Send(placer.Adopted{Call: snipeford.PlacedCall{Ask: ask, Placement: p}})
+		return p, at.node
+	}
+	at.cancelAsk(ask.Call)
+	waited := l.Timer.Now().Sub(asked)
+	if ctx.Err() != nil {
+		at.tell(Frame{Ended: &Progress{Service: ask.Service, Call: ask.Call}})
+		return snipeford.Placement{Call: ask.Call, Refused: true}, at.node
+	}
+	l.Log.Decided("home did not answer", ask.Call, "Home", at.node, "WaitedMs", waited.Milliseconds())
+	ask.Target, ask.Patience = max(0, ask.Target-waited), ask.Patience-waited
+	p := l.Loop.Place(ctx, ask)
+	if !p.Refused {
+		at.tell(Frame{Adopt: &snipeford.PlacedCall{Ask: ask, Placement: p}})
+	}
+	return p, l.Self.Node
+}
+
+// askHome waits for the home's answer: for a short time, or, once the home has
+// said that the request waits, as long as the home stays healthy.
+func (l *Links) askHome(ctx context.Context, at *link, ask snipeford.PlaceAsk) (snipeford.Placement, bool) {
+	answers, err := at.ask(ask)
+	if err != nil {
+		return snipeford.Placement{}, false
+	}
+	for queued := false; ; {
 		timeout, cancel := context.WithTimeout(ctx, askTimeout)
-		defer cancel()
 		select {
-		case p, ok := <-waiting:
-			if ok {
-				l.Loop.Send(placer.Adopted{Call: snipeford.PlacedCall{Ask: ask, Placement: p}})
-				return p, at.node
+		case p, ok := <-answers:
+			cancel()
+			if !ok || !p.Queued {
+				return p, ok
 			}
+			queued = true
 		case <-timeout.Done():
-			at.cancelAsk(ask.Call)
-			at.suspect(l.Timer.Now())
+			cancel()
+			if ctx.Err() != nil {
+				return snipeford.Placement{}, false
+			}
+			if !queued {
+				at.suspect(l.Timer.Now())
+				return snipeford.Placement{}, false
+			}
+			if !at.healthy(l.Timer.Now()) {
+				return snipeford.Placement{}, false
+			}
 		}
 	}
-	l.Log.Decided("home did not answer", ask.Call, "Home", at.node, "Waited", l.Timer.Now().Sub(asked))
-	p := l.Loop.Place(ctx, ask)
-	if !p.Refused {
-		at.tell(Frame{Adopt: &snipeford.PlacedCall{Ask: ask, Placement: p}})
-	}
-	return p, l.Self.Node
 }
 
 // Began tells the home and the own books of a request's first event.
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -24,16 +24,17 @@
 	safety = 0.85
 	// hastening is what a first event at its target costs beside one at once.
 	hastening = 0.08
-	// packing is what a request with short pauses pays at an engine that has
-	// none, where long prompts keep all engines busy.
-	packing = 0.6
 	// otherDomain is what an engine in another failure domain costs.
 	otherDomain = 0.004
+	// giantReading is the reading, in milliseconds, from which a prompt gets as
+	// few engines as can serve it in time: it would hold up all others.
+	giantReading = 12_000
+	// giantPatience is the share of its caller's patience that its reading may
+	// take.
+	giantPatience = 0.75
 	// leastPart is the shortest part, in tokens, that a helper reads: engines
 	// help few requests at once, until their ends.
-	leastPart = 8_000
-	// mostHelpers is the most helpers that engines take.
-	mostHelpers = 16
+	leastPart = 6_000
 	// memoryUse is the share of an engine's memory that is given away.
 	memoryUse = 0.96
 	// coldLoss is what a cold engine costs.
@@ -70,33 +71,38 @@
 
 func weight(prompt snipeford.Tokens) float64 { return 1 + float64(prompt)/weightTokens }
 
-// Place chooses where a request runs and enters it into the books.
-func (s *State) Place(now snipeford.Instant, ask snipeford.PlaceAsk) snipeford.Placement {
-	s.decay(now)
-	usable := s.usable(now, ask)
-	if len(usable) == 0 || s.model.ReadRate <= 0 {
-		return snipeford.Placement{Call: ask.Call, Refused: true, RetryAfter: retryLater}
-	}
-	best, loss := snipeford.Placement{}, math.Inf(1)
-	var due float64
+// choose finds the placement of least loss among the engines. Due is when the
+// first event should come, in milliseconds from now.
+func (s *State) choose(now snipeford.Instant, ask snipeford.PlaceAsk, engines []*replica) (best snipeford.Placement, loss, due float64) {
+	loss = math.Inf(1)
 	for _, helpers := range helperCounts {
-		if helpers+1 > len(usable) || helpers > mostHelpers || helpers > 0 && !s.model.Joint {
+		if !s.fair(ask, helpers) {
+			continue
+		}
+		if helpers+1 > len(engines) || helpers > 0 && !s.model.Joint {
 			break
 		}
 		if helpers > 0 && ask.Prompt/snipeford.Tokens(helpers+1) < leastPart {
 			break
 		}
-		p, l, first, ok := s.weigh(now, ask, usable, helpers)
+		p, l, first, ok := s.weigh(now, ask, engines, helpers)
 		if ok && l < loss {
 			best, loss, due = p, l, first
 		}
 	}
-	if math.IsInf(loss, 1) {
-		return snipeford.Placement{Call: ask.Call, Refused: true, RetryAfter: retryLater}
+	return best, loss, due
+}
+
+// fair reports whether a prompt may have that many helpers.
+func (s *State) fair(ask snipeford.PlaceAsk, helpers int) bool {
+	whole := s.model.reading(ask.Prompt)
+	if whole <= giantReading {
+		return true
 	}
-	j := s.commit(now, ask, best)
-	j.due = now.Add(duration(due))
-	return best
+	limit := giantPatience * ms(ask.Patience)
+	enough := whole/float64(helpers+1) <= limit
+	fewer := helpers > 0 && whole/float64(helpers) <= limit
+	return enough && !fewer
 }
 
 // retryLater is when a caller may come back that no engine can take.
@@ -164,9 +170,7 @@
 		o.first += float64(waiting+1) * base * slotTurn
 	}
 	o.harm = s.harm(now, r, base+backlog, part)
-	if ms(ask.MaxPause) < tightPause && !s.hasTight(r) {
-		o.harm += packing * min(1, s.longLoad/(1000*float64(max(len(s.order), 1))))
-	}
+	o.harm += s.split(ask, r)
 	if r.coldUntil > now {
 		o.harm += coldLoss
 	}
@@ -177,9 +181,6 @@
 }
 
 const (
-	// tightPause is the pause, in milliseconds, below which a stream does not
-	// bear long prompts beside it.
-	tightPause = 400
 	// slotTurn is how many passes a full engine takes to end one request.
 	slotTurn = 3
 )
@@ -204,15 +205,6 @@
 	return sum
 }
 
-func (s *State) hasTight(r *replica) bool {
-	for _, j := range r.jobs {
-		if ms(j.ask.MaxPause) < tightPause {
-			return true
-		}
-	}
-	return false
-}
-
 // lead returns the chosen engine that writes: the first by its own time whose
 // memory holds the whole prompt, or -1.
 func (s *State) lead(ask snipeford.PlaceAsk, chosen []option) int {
@@ -247,7 +239,7 @@
 }
 
 func placed(ask snipeford.PlaceAsk, chosen []option, reserve snipeford.Tokens) snipeford.Placement {
-	p := snipeford.Placement{Call: ask.Call, Upstream: chosen[0].r.id, Reserve: reserve}
+	p := snipeford.Placement{Call: ask.Call, Node: ask.Node, Upstream: chosen[0].r.id, Reserve: reserve}
 	for _, o := range chosen[1:] {
 		p.Helpers = append(p.Helpers, o.r.id)
 	}
--- /dev/null
+++ b/internal/policy/placement/queue.go
@@ -0,0 +1,152 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"snipeford"
+)
+
+const (
+	// shortReading is the reading, in milliseconds, up to which a prompt is
+	// placed at once.
+	shortReading = 60
+	// freeBacklog is the backlog, in milliseconds, up to which an engine takes
+	// a part of a long prompt: what waits here can still be reordered.
+	freeBacklog = 150
+	// enoughFree is the share of the engines for long prompts from which waiting
+	// for more of them is not worth its time.
+	enoughFree = 0.6
+	// leastShare is one over the share of the engines that is for long prompts
+	// at least.
+	leastShare = 3
+	// spareSlots is how many slots an engine must have left for a short prompt
+	// that will be late.
+	spareSlots = 2
+	// timely is the lateness below which a placement is taken at once.
+	timely = 0.4
+	// looked is how many waiting requests are tried in one turn.
+	looked = 4
+	// leastLeft is the time that an answer needs at least; without it a waiting
+	// request is refused.
+	leastLeft = 250 * time.Millisecond
+)
+
+// waiting is a request without a place.
+type waiting struct {
+	ask snipeford.PlaceAsk
+	at  snipeford.Instant
+	// reading is the time to read its prompt on one engine, in milliseconds.
+	reading float64
+}
+
+// left returns the request as of now: less time is left for everything.
+func (w *waiting) left(now snipeford.Instant) snipeford.PlaceAsk {
+	ask := w.ask
+	ask.Target = max(0, ask.Target-now.Sub(w.at))
+	ask.Patience -= now.Sub(w.at)
+	return ask
+}
+
+// Ask takes in a request and returns the placements that it brings about. A
+// request that is not among them waits.
+func (s *State) Ask(now snipeford.Instant, ask snipeford.PlaceAsk) []snipeford.Placement {
+	s.waiting = append(s.waiting, &waiting{ask: ask, at: now, reading: s.model.reading(ask.Prompt)})
+	return s.Next(now)
+}
+
+// Next places waiting requests, and refuses those whose time is over.
+func (s *State) Next(now snipeford.Instant) []snipeford.Placement {
+	if len(s.waiting) == 0 {
+		return nil
+	}
+	s.decay(now)
+	s.arrange()
+	s.sort(now)
+	var out []snipeford.Placement
+	tried := 0
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool {
+		ask := w.left(now)
+		if ask.Patience < leastLeft || len(s.order) == 0 || s.model.ReadRate <= 0 {
+			out = append(out, snipeford.Placement{Call: ask.Call, Node: ask.Node, Refused: true, RetryAfter: retryLater})
+			return true
+		}
+		if tried >= looked {
+			return false
+		}
+		p, ok := s.place(now, w, ask)
+		if !ok {
+			tried++
+			return false
+		}
+		out = append(out, p)
+		return true
+	})
+	return out
+}
+
+// sort puts the requests first that can still be timely, by their deadline for
+// that, then the others by the work that they are.
+func (s *State) sort(now snipeford.Instant) {
+	key := func(w *waiting) (float64, float64) {
+		slack := ms(w.at.Add(w.ask.Target).Sub(now))
+		if fastest := w.reading / float64(max(1, len(s.order)-s.kept)); fastest > slack {
+			return 1, w.reading
+		}
+		return 0, slack
+	}
+	slices.SortStableFunc(s.waiting, func(a, b *waiting) int {
+		aLate, aKey := key(a)
+		bLate, bKey := key(b)
+		return cmp.Or(cmp.Compare(a.ask.Priority, b.ask.Priority), cmp.Compare(aLate, bLate), cmp.Compare(aKey, bKey))
+	})
+}
+
+// place decides about one waiting request.
+func (s *State) place(now snipeford.Instant, w *waiting, ask snipeford.PlaceAsk) (snipeford.Placement, bool) {
+	usable := s.usable(now, ask)
+	short := w.reading <= shortReading
+	engines := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool { return !s.free(now, r, short) })
+	p, loss, due := s.choose(now, ask, engines)
+	if math.IsInf(loss, 1) {
+		return snipeford.Placement{}, false
+	}
+	if lateness(due, ms(ask.Target)) > timely && !s.worthNow(now, usable, engines, short) {
+		return snipeford.Placement{}, false
+	}
+	j := s.commit(now, ask, p)
+	j.due = now.Add(duration(due))
+	return p, true
+}
+
+// free reports whether an engine takes more of such requests now. What waits
+// here can still be reordered; what waits in an engine can't.
+func (s *State) free(now snipeford.Instant, r *replica, short bool) bool {
+	if short {
+		return len(r.jobs) < s.model.Slots
+	}
+	all, _ := r.backlog(now)
+	return all <= freeBacklog
+}
+
+// worthNow reports whether a request that will be late shall be placed all the
+// same: it takes only what timely ones leave.
+func (s *State) worthNow(now snipeford.Instant, usable, engines []*replica, short bool) bool {
+	if !short {
+		allowed := max(len(usable)-s.kept, len(usable)/leastShare)
+		return float64(len(engines)) >= enoughFree*float64(allowed)
+	}
+	for _, r := range engines {
+		if all, _ := r.backlog(now); len(r.jobs) <= s.model.Slots-spareSlots && all <= freeBacklog {
+			return true
+		}
+	}
+	return false
+}
+
+// withdraw takes a request out of the queue.
+func (s *State) withdraw(call snipeford.RequestID) {
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool { return w.ask.Call == call })
+}
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -32,8 +32,10 @@
 
 // replica is one engine with the jobs that it works on.
 type replica struct {
-	id        snipeford.UpstreamID
-	domain    snipeford.FailureDomain
+	id     snipeford.UpstreamID
+	domain snipeford.FailureDomain
+	// rank is the place in the order of engines.
+	rank      int
 	coldUntil snipeford.Instant
 	// jobs write here, or will; parts are the jobs that it helps to read.
 	jobs  map[snipeford.RequestID]*job
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -19,6 +19,10 @@
 	// second, at longLoadAt.
 	longLoad   float64
 	longLoadAt snipeford.Instant
+	// kept is how many engines of the order are left to streams with short
+	// pauses.
+	kept    int
+	waiting []*waiting
 }
 
 // Candidate is an engine that may get requests.
@@ -32,11 +36,6 @@
 	// loadMemory is the time constant of longLoad. It follows bursts of some
 	// seconds.
 	loadMemory = 2 * time.Second
-	// paceWeight is the weight of the newest measurement of a replica's pace.
-	paceWeight = 0.15
-	// leastPace and mostPace bound the pace that is believed.
-	leastPace = 0.7
-	mostPace  = 8
 	// forgottenAfter is when a job that never ended is dropped: its entry node
 	// is gone. No route lets callers wait longer than this after a start.
 	forgottenAfter = 30 * time.Second
@@ -144,22 +143,10 @@
 	j.late = took > j.ask.Target
 	first := s.replica(j.placed.Upstream)
 	first.succeeded(now)
-	s.learnPace(first, j, took)
 	first.dropReading(now, j)
 	s.freeParts(now, j)
 }
 
-// learnPace compares a first event's time with the predicted one.
-func (s *State) learnPace(r *replica, j *job, took time.Duration) {
-	if j.due <= j.start || len(j.placed.Helpers) > 0 {
-		return
-	}
-	ratio := r.pace * float64(took) / float64(j.due.Sub(j.start))
-	ratio = min(max(ratio, leastPace), mostPace)
-	r.pace += paceWeight * (ratio - r.pace)
-	r.pace = max(r.pace, 1)
-}
-
 // freeParts ends the helpers' reading. Helpers that hold memory for the job
 // keep it until its end.
 func (s *State) freeParts(now snipeford.Instant, j *job) {
@@ -178,6 +165,7 @@
 // End forgets a request. Failed says that its engine, or the one that fault
 // names, failed it.
 func (s *State) End(now snipeford.Instant, call snipeford.RequestID, failed bool, fault snipeford.UpstreamID) {
+	s.withdraw(call)
 	j, ok := s.jobs[call]
 	if !ok {
 		return
@@ -232,4 +220,5 @@
 			s.End(now, call, false, "")
 		}
 	}
+	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool { return w.ask.Node == node })
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -31,6 +32,8 @@
 	firstByte time.Duration
 	longest   time.Duration
 	lastAt    snipeford.Instant
+	// held is the memory that is set aside for the current attempt.
+	held *tickets
 }
 
 func newStream(c *call, name snipeford.ServiceName) *stream {
@@ -122,6 +125,9 @@
 		s.Counts.Repeated(s.route.Kind)
 	}
 	x, err := s.send(p)
+	if s.held != nil {
+		defer s.freeMemory()
+	}
 	if err != nil {
 		return s.lost(p, err)
 	}
@@ -140,18 +146,47 @@
 	return s.relay(p, x)
 }
 
+// send sends the request to the placed upstream, with memory set aside where
+// the prompt needs it.
 func (s *stream) send(p snipeford.Placement) (*connection.Exchange, error) {
-	u, ok := s.find(p.Upstream)
-	if !ok {
-		return nil, &connection.Failure{Err: errUnknownUpstream}
+	engines, err := s.engines(p)
+	if err != nil {
+		return nil, &connection.Failure{Err: err}
 	}
-	head := snipeford.AttemptHead{Upstream: u.ID, LastEvent: s.lastEvent, Priority: p.Priority, HasPriority: p.Priority > 0}
-	for _, id := range p.Helpers {
-		if helper, ok := s.find(id); ok {
-			head.Helpers = append(head.Helpers, snipeford.Helper{Address: helper.Address})
+	head := snipeford.AttemptHead{Upstream: p.Upstream, LastEvent: s.lastEvent, Priority: p.Priority, HasPriority: p.Priority > 0}
+	if p.Reserve > 0 {
+		held, at, err := s.reserve(engines, p.Reserve)
+		if err != nil {
+			s.excluded = append(s.excluded, at)
+			return nil, &connection.Failure{Err: err}
+		}
+		s.held = held
+		head.Helpers = held.helpers()
+	} else {
+		for _, u := range engines[1:] {
+			head.Helpers = append(head.Helpers, snipeford.Helper{Address: u.Address})
 		}
 	}
-	return s.Pool.Do(s.ctx, u.Address, s.request(head), s.Dialect)
+	return s.Pool.Do(s.ctx, engines[0].Address, s.request(head), s.Dialect)
+}
+
+// engines returns the placed upstream and its helpers.
+func (s *stream) engines(p snipeford.Placement) ([]directory.Upstream, error) {
+	var out []directory.Upstream
+	for _, id := range append([]snipeford.UpstreamID{p.Upstream}, p.Helpers...) {
+		u, ok := s.find(id)
+		if !ok {
+			s.excluded = append(s.excluded, id)
+			return nil, fmt.Errorf("%w: %s", errUnknownUpstream, id)
+		}
+		out = append(out, u)
+	}
+	return out, nil
+}
+
+func (s *stream) freeMemory() {
+	s.held.free()
+	s.held = nil
 }
 
 var errUnknownUpstream = errors.New("upstream is not known here")
@@ -168,11 +203,15 @@
 // lost handles an attempt without an answer.
 func (s *stream) lost(p snipeford.Placement, err error) bool {
 	var f *connection.Failure
-	if errors.As(err, &f) && f.Sent {
+	sent := errors.As(err, &f) && f.Sent
+	if sent {
 		s.attempts++
 	}
-	s.end(p, s.ctx.Err() == nil, "")
-	s.exclude(p, "")
+	placeable := errors.Is(err, snipeford.ErrConflict) || errors.Is(err, errUnknownUpstream)
+	s.end(p, s.ctx.Err() == nil && !placeable, "")
+	if !placeable {
+		s.exclude(p, "")
+	}
 	s.Log.Decided("upstream gave no answer", s.head.Request, "Upstream", p.Upstream, "Error", err, "Attempts", s.attempts)
 	return false
 }
--- a/placement.go
+++ b/placement.go
@@ -24,7 +24,9 @@
 
 // Placement says where a request runs.
 type Placement struct {
-	Call     RequestID
+	Call RequestID
+	// Node is the entry node that asked.
+	Node     NodeID
 	Upstream UpstreamID
 	// Helpers read parts of the prompt.
 	Helpers []UpstreamID
@@ -32,6 +34,8 @@
 	// one ticket each, zero where the prompt fits the first engine.
 	Reserve  Tokens
 	Priority int
+	// Queued placements name no upstream yet: the answer comes later.
+	Queued bool
 	// Refused placements name no upstream; RetryAfter says when to come back.
 	Refused    bool
 	RetryAfter time.Duration
