Keep giant prompts off the engines that short streams need

Ruled out: processor (0.024 of 0.4 cores), memory, a second home (one node of six, 15.4 to 20.5 s). Change: a prompt of over 12 s of reading takes engines outside of the split.

--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -108,7 +108,10 @@
 func (s *State) place(now snipeford.Instant, w *waiting, ask snipeford.PlaceAsk) (snipeford.Placement, bool) {
 	usable := s.usable(now, ask)
 	short := w.reading <= shortReading
-	engines := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool { return !s.free(now, r, short) })
+	giant := w.reading > giantReading
+	engines := slices.DeleteFunc(slices.Clone(usable), func(r *replica) bool {
+		return !s.free(now, r, short) || giant && r.rank < s.kept
+	})
 	p, loss, due := s.choose(now, ask, engines)
 	if math.IsInf(loss, 1) {
 		return snipeford.Placement{}, false
