Serve what can still be timely first, and refuse what waited in vain

Ruled out: engines' slots (the throughput matched the load), the home's links. Change: a request counts as timely where its target leaves one and a half passes, its reading and the way; short ones that missed it are refused after 2.5 s with the backlog's forecast.

--- a/internal/experiment/placing/load.go
+++ b/internal/experiment/placing/load.go
@@ -43,3 +43,11 @@
 	}
 	return l
 }
+
+// Overloaded is a burst of short prompts on fewer engines than it needs, as
+// after the loss of a failure domain.
+func Overloaded(engines int) Load {
+	l := Load{Classes: classes(1), Length: 20 * time.Second, Engines: engines, Profile: Profile}
+	l.Bursts = []Burst{{0, l.Length, shortBurst}}
+	return l
+}
--- a/internal/experiment/placing/placing_test.go
+++ b/internal/experiment/placing/placing_test.go
@@ -55,3 +55,8 @@
 	mean(t, placing.Alternating(0.8))
 	mean(t, placing.Alternating(1))
 }
+
+func TestOverload(t *testing.T) {
+	mean(t, placing.Overloaded(11))
+	mean(t, placing.Overloaded(14))
+}
--- a/internal/experiment/placing/run.go
+++ b/internal/experiment/placing/run.go
@@ -76,6 +76,8 @@
 	last    snipeford.Instant
 	longest time.Duration
 	done    bool
+	// returned requests have been refused once; callers come back no more.
+	returned bool
 }
 
 // action is something that happens at an instant.
@@ -191,6 +193,10 @@
 
 func (r *run) start(id snipeford.RequestID, req *request, p snipeford.Placement) {
 	if p.Refused {
+		if req.returned {
+			return
+		}
+		req.returned = true
 		r.schedule(r.now.Add(max(p.RetryAfter, 50*time.Millisecond)), func() { r.arrive(id, req) })
 		return
 	}
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -43,6 +43,9 @@
 	// connections to a node that says it is not ready: two questions a second
 	// apart, and what is on its way.
 	balancerDelay = 3 * time.Second
+	// idleEnd is when a leaving node closes its idle connections: their callers
+	// then connect to nodes that stay.
+	idleEnd = 2300 * time.Millisecond
 	// killMargin is how long before the platform's kill the process ends.
 	killMargin = 400 * time.Millisecond
 	// activeEvery is how often a leaving node looks for running requests.
@@ -83,6 +86,7 @@
 	pool     *connection.Pool
 	self     directory.Peer
 	parts    Parts
+	callers  *http.Server
 }
 
 // New builds a node.
@@ -166,22 +170,20 @@
 		return fmt.Errorf("listen for peers: %w", trace.ConvertSystemError(err))
 	}
 	group.Go(func() error { return n.peers.Serve(ctx, peers) })
-	for address, handler := range map[string]http.Handler{
-		n.settings.CallerAddress:  n.relay,
-		n.settings.ReadyAddress:   http.HandlerFunc(n.answerReady),
-		n.settings.MetricsAddress: http.HandlerFunc(n.answerMetrics),
-	} {
-		if err := n.serve(ctx, group, address, handler); err != nil {
-			return err
-		}
+	if _, err := n.serve(ctx, group, n.settings.ReadyAddress, http.HandlerFunc(n.answerReady)); err != nil {
+		return err
 	}
-	return nil
+	if _, err := n.serve(ctx, group, n.settings.MetricsAddress, http.HandlerFunc(n.answerMetrics)); err != nil {
+		return err
+	}
+	n.callers, err = n.serve(ctx, group, n.settings.CallerAddress, n.relay)
+	return err
 }
 
-func (n *Node) serve(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) error {
+func (n *Node) serve(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
-		return fmt.Errorf("listen: %w", trace.ConvertSystemError(err))
+		return nil, fmt.Errorf("listen: %w", trace.ConvertSystemError(err))
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeader, IdleTimeout: callerIdle, MaxHeaderBytes: headerBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
@@ -192,7 +194,7 @@
 		}
 		return nil
 	})
-	return nil
+	return server, nil
 }
 
 // answerReady tells the balancer whether to send callers.
@@ -205,7 +207,7 @@
 func (n *Node) ready() bool {
 	v := n.follower.current()
 	age, ok := n.fresh.Age(n.timer.Elapsed())
-	return v.Plan != nil && v.Listed && ok && age < n.relay.KeyAge && !n.relay.Leaving.Load()
+	return v.Plan != nil && v.Listed && ok && age < n.relay.KeyAge && !n.relay.Leaving()
 }
 
 // answerMetrics writes counters and histograms as JSON.
@@ -253,9 +255,12 @@
 func (n *Node) leave(ctx context.Context) {
 	start := n.timer.Now()
 	n.log.Believed("node leaves", "Active", n.relay.Active())
-	n.relay.Leaving.Store(true)
+	n.relay.Leave()
 	for ctx.Err() == nil {
 		waited := n.timer.Now().Sub(start)
+		if waited >= idleEnd {
+			n.callers.SetKeepAlivesEnabled(false)
+		}
 		if waited >= balancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin {
 			break
 		}
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -29,6 +29,17 @@
 	timely = 0.4
 	// looked is how many waiting requests are tried in one turn.
 	looked = 4
+	// passesToFirst is how many passes go by until a first event: on average
+	// half of the running one, and the own one.
+	passesToFirst = 1.5
+	// lateHold is how long a short request that will be late waits for an engine.
+	lateHold = 2500 * time.Millisecond
+	// usualSeconds is how long an answer takes to write, for the forecast of the
+	// backlog.
+	usualSeconds = 2.5
+	// patienceShare is one over the share of its patience after which a refused
+	// caller comes back at the latest; callers accept no later time.
+	patienceShare = 3
 	// leastLeft is the time that an answer needs at least; without it a waiting
 	// request is refused.
 	leastLeft = 250 * time.Millisecond
@@ -69,8 +80,8 @@
 	tried := 0
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool {
 		ask := w.left(now)
-		if ask.Patience < leastLeft || len(s.order) == 0 || s.model.ReadRate <= 0 {
-			out = append(out, snipeford.Placement{Call: ask.Call, Node: ask.Node, Refused: true, RetryAfter: retryLater})
+		if s.hopeless(now, w, ask) {
+			out = append(out, snipeford.Placement{Call: ask.Call, Node: ask.Node, Refused: true, RetryAfter: s.returnAfter(ask)})
 			return true
 		}
 		if tried >= looked {
@@ -87,12 +98,34 @@
 	return out
 }
 
+// hopeless reports whether a request is refused: nothing can serve it in its
+// time, or it has missed its target and timely ones leave it nothing.
+func (s *State) hopeless(now snipeford.Instant, w *waiting, ask snipeford.PlaceAsk) bool {
+	if ask.Patience < leastLeft || len(s.order) == 0 || s.model.ReadRate <= 0 {
+		return true
+	}
+	return w.reading <= shortReading && now.Sub(w.at) > lateHold && ask.Target == 0
+}
+
+// returnAfter returns when a refused caller may come back: when the engines
+// should have worked off what waits, and early enough for its own patience.
+func (s *State) returnAfter(ask snipeford.PlaceAsk) time.Duration {
+	perSecond := float64(max(len(s.order), 1)*max(s.model.Slots, 1)) / usualSeconds
+	backlog := duration(1000 * float64(len(s.waiting)) / perSecond)
+	return min(max(retryLater, 2*backlog), ask.Patience/patienceShare)
+}
+
 // sort puts the requests first that can still be timely, by their deadline for
 // that, then the others by the work that they are.
 func (s *State) sort(now snipeford.Instant) {
+	pass := s.usualPass()
 	key := func(w *waiting) (float64, float64) {
 		slack := ms(w.at.Add(w.ask.Target).Sub(now))
-		if fastest := w.reading / float64(max(1, len(s.order)-s.kept)); fastest > slack {
+		engines := 1.0
+		if w.reading > shortReading {
+			engines = float64(max(1, len(s.order)-s.kept))
+		}
+		if callerHop+w.reading/engines+passesToFirst*pass > slack {
 			return 1, w.reading
 		}
 		return 0, slack
@@ -104,6 +137,16 @@
 	})
 }
 
+// usualPass returns the mean time of an engine's pass without reading.
+func (s *State) usualPass() float64 {
+	sum := 0.0
+	for _, r := range s.order {
+		n, context := r.writers()
+		sum += s.model.pass(n+1, context)
+	}
+	return sum / float64(max(len(s.order), 1))
+}
+
 // place decides about one waiting request.
 func (s *State) place(now snipeford.Instant, w *waiting, ask snipeford.PlaceAsk) (snipeford.Placement, bool) {
 	usable := s.usable(now, ask)
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -63,9 +63,9 @@
 	// that of what is not there.
 	KeyAge     time.Duration
 	AbsenceAge time.Duration
-	// Leaving nodes answer on connections that they close.
-	Leaving atomic.Bool
-	active  atomic.Int64
+	active     atomic.Int64
+	// leavingAt is when the node began to leave, zero before that.
+	leavingAt atomic.Int64
 }
 
 const (
@@ -74,10 +74,29 @@
 	defaultPatience = 10 * time.Second
 	// longestBody bounds a body where the routing sets no limit, in bytes.
 	longestBody = 4 << 20
+	// elsewhere is when a caller may come back that another node can serve now.
+	elsewhere = 50 * time.Millisecond
 	// soon is when a caller may come back after a trouble of this node alone.
 	soon = 300 * time.Millisecond
 )
 
+// Leave lets the node end its connections with their next answers.
+func (s *Server) Leave() { s.leavingAt.Store(int64(max(s.Timer.Now(), 1))) }
+
+// Leaving reports whether the node has begun to leave.
+func (s *Server) Leaving() bool { return s.leavingAt.Load() > 0 }
+
+// lastStreams is how long after it began to leave a node takes streams: later
+// ones might not end before the process does. Callers then find other nodes, as
+// the balancer has learned by then that this one leaves.
+const lastStreams = 2700 * time.Millisecond
+
+// closing reports whether the node is too close to its end for a new stream.
+func (s *Server) closing() bool {
+	at := snipeford.Instant(s.leavingAt.Load())
+	return at > 0 && s.Timer.Now().Sub(at) > lastStreams
+}
+
 // Active returns how many requests are being served.
 func (s *Server) Active() int64 { return s.active.Load() }
 
@@ -109,7 +128,7 @@
 	s.active.Add(1)
 	defer s.active.Add(-1)
 	c := &call{Server: s, w: w, r: r, head: s.Dialect.ReadCall(r.Header), view: s.View(), start: s.Timer.Now()}
-	if s.Leaving.Load() {
+	if s.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	if refusal := c.admit(); refusal != nil {
@@ -137,6 +156,9 @@
 	if refusal := c.authenticate(); refusal != nil {
 		return refusal
 	}
+	if c.route.Kind == snipeford.RouteStream && c.closing() {
+		return &refusal{status: http.StatusServiceUnavailable, cause: snipeford.CauseNodeLeaving, retryAfter: elsewhere}
+	}
 	patience := c.head.Patience
 	if patience <= 0 {
 		patience = defaultPatience
