Ask no home that knows too little, and count unsent tries as none

A test of the queue between nodes hung: a node that changes its home sends its running requests, and the home dropped the waiting ones of that node with the old list, so that they were never answered. A second test failed once: an end and the list that was asked for after it could pass each other. Ruled out: the budget's size, the engines. Change: the age of knowledge travels with each pong and decides who is asked; the list stands behind all earlier events; a list replaces running requests only; the wait for a queued place is bounded.

--- a/internal/control/placer/loop.go
+++ b/internal/control/placer/loop.go
@@ -20,7 +20,6 @@
 
 	state  State
 	events chan Event
-	asks   chan func()
 	done   chan struct{}
 
 	mu      sync.Mutex
@@ -32,7 +31,6 @@
 	return &Loop{
 		Node: node, Timer: t,
 		events:  make(chan Event, queueSize),
-		asks:    make(chan func()),
 		done:    make(chan struct{}),
 		waiting: map[snipeford.RequestID]chan snipeford.Placement{},
 	}
@@ -69,15 +67,22 @@
 
 // Placed returns the running requests of this node, nil after the loop's end.
 func (l *Loop) Placed() []snipeford.PlacedCall {
-	answer := make(chan []snipeford.PlacedCall, 1)
+	q := query{make(chan []snipeford.PlacedCall, 1)}
+	l.Send(q)
 	select {
-	case l.asks <- func() { answer <- l.state.Placed(l.Timer.Now(), l.Node) }:
-		return <-answer
+	case list := <-q.answer:
+		return list
 	case <-l.done:
 		return nil
 	}
 }
 
+// query asks for the running requests of this node, behind all events that were
+// sent before it.
+type query struct{ answer chan []snipeford.PlacedCall }
+
+func (query) event() {}
+
 // Run applies events until ctx ends.
 func (l *Loop) Run(ctx context.Context) error {
 	defer close(l.done)
@@ -90,13 +95,15 @@
 			l.apply(Ticked{})
 		case e := <-l.events:
 			l.apply(e)
-		case ask := <-l.asks:
-			ask()
 		}
 	}
 }
 
 func (l *Loop) apply(e Event) {
+	if q, ok := e.(query); ok {
+		q.answer <- l.state.Placed(l.Timer.Now(), l.Node)
+		return
+	}
 	for _, g := range l.state.Apply(l.Timer.Now(), e) {
 		if g.Node == l.Node {
 			l.answer(g.Placement)
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -87,6 +87,9 @@
 		s.sync(now, e)
 	case NodeLost:
 		s.forget(now, e.Node)
+		for _, service := range s.services {
+			service.Dismiss(e.Node)
+		}
 	case Viewed:
 		s.view(e.View)
 	case Ticked:
--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -24,8 +25,12 @@
 	links *grant.Links
 	loop  *placer.Loop
 	stop  context.CancelFunc
+	age   atomic.Int64
 }
 
+// knowledge is how old the node says its knowledge is.
+func (n *node) knowledge() time.Duration { return time.Duration(n.age.Load()) }
+
 func profile() *snipeford.EngineProfile {
 	return &snipeford.EngineProfile{Slots: 16, Memory: 300_000, Step: time.Millisecond, ReadRate: 100_000, Chunk: 2_000, Stride: 50}
 }
@@ -39,8 +44,7 @@
 	return &directory.View{Plan: plan.New(r), Usable: map[snipeford.ServiceName][]directory.Upstream{"s": usable}, Peers: peers}
 }
 
-// start runs nodes that listen at listeners; a nil handler of a listener's
-// connections is a real node.
+// start runs nodes. The silent one accepts connections and says nothing.
 func start(t *testing.T, names []snipeford.NodeID, silent snipeford.NodeID) map[snipeford.NodeID]*node {
 	t.Helper()
 	peers := map[snipeford.NodeID]directory.Peer{}
@@ -80,11 +84,12 @@
 func startNode(t *testing.T, self directory.Peer, peers map[snipeford.NodeID]directory.Peer, l net.Listener) *node {
 	t.Helper()
 	clock := &timer.Service{}
+	n := &node{}
 	journal := decision.New(self.Node, log.InfoLevel, clock)
 	loop := placer.New(self.Node, clock)
-	server := &grant.Server{Loop: loop, Timer: clock, Log: journal, Knowledge: func() (snipeford.Version, time.Duration, bool) { return 1, 0, true }}
+	server := &grant.Server{Loop: loop, Timer: clock, Log: journal, Knowledge: func() (snipeford.Version, time.Duration, bool) { return 1, n.knowledge(), true }}
 	loop.Deliver = server.Deliver
-	links := &grant.Links{Self: self, Loop: loop, Timer: clock, Log: journal}
+	links := &grant.Links{Self: self, Loop: loop, Timer: clock, Log: journal, Knowledge: func() (time.Duration, bool) { return n.knowledge(), true }}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = loop.Run(ctx) }()
@@ -94,7 +99,8 @@
 	time.Sleep(10 * time.Millisecond)
 	loop.Send(placer.Viewed{View: view(peers)})
 	links.View(view(peers))
-	return &node{links, loop, cancel}
+	n.links, n.loop, n.stop = links, loop, cancel
+	return n
 }
 
 func ask(call string) snipeford.PlaceAsk {
@@ -155,6 +161,29 @@
 	}
 }
 
+// TestHomeThatKnowsTooLittle answers a home that is cut off from the store: it
+// places requests on upstreams that have left.
+func TestHomeThatKnowsTooLittle(t *testing.T) {
+	nodes := start(t, names, "")
+	first, second, third := order()[0], order()[1], order()[2]
+	nodes[first].age.Store(int64(8 * time.Second))
+	time.Sleep(300 * time.Millisecond)
+	for _, name := range []snipeford.NodeID{first, third} {
+		if p, by := nodes[name].links.Place(context.Background(), ask("late-"+string(name))); p.Refused || by != second {
+			t.Errorf("%s: got %+v by %s, want a place by %s", name, p, by, second)
+		}
+	}
+	t.Run("unless all know as little", func(t *testing.T) {
+		for _, n := range nodes {
+			n.age.Store(int64(9 * time.Second))
+		}
+		time.Sleep(300 * time.Millisecond)
+		if p, by := nodes[third].links.Place(context.Background(), ask("outage")); p.Refused || by != first {
+			t.Errorf("got %+v by %s, want a place by %s", p, by, first)
+		}
+	})
+}
+
 func TestQueuedRequestWaitsForItsPlace(t *testing.T) {
 	nodes := start(t, names, "")
 	first, last := nodes[order()[0]], nodes[order()[2]]
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -45,7 +45,10 @@
 	pingAt   snipeford.Instant
 	number   uint64
 	failedAt snipeford.Instant
-	pending  map[snipeford.RequestID]chan snipeford.Placement
+	// age is how old the peer's knowledge was at its last pong, if it had any.
+	age     time.Duration
+	known   bool
+	pending map[snipeford.RequestID]chan snipeford.Placement
 }
 
 // run connects and reads until ctx ends.
@@ -137,14 +140,22 @@
 func (l *link) ponged(p Pong) {
 	l.mu.Lock()
 	current := p.Number == l.number
-	sent := l.pingAt
 	if current {
 		l.pongAt = l.links.Timer.Now()
+		l.age, l.known = time.Duration(p.ConfirmedAge)*time.Millisecond, p.Confirmed
 	}
 	l.mu.Unlock()
-	if current && l.links.Heard != nil {
-		l.links.Heard(p, sent)
+}
+
+// knowledge returns how old the peer's knowledge is, and false where it has
+// none or does not answer.
+func (l *link) knowledge(now snipeford.Instant) (time.Duration, bool) {
+	if !l.healthy(now) {
+		return 0, false
 	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.age + now.Sub(l.pongAt), l.known
 }
 
 // ping asks for a sign of life, and closes a connection that gives none.
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -17,6 +18,9 @@
 	// askTimeout is how long a home may take. Nodes of one region are a few
 	// milliseconds apart; without an answer the entry node decides itself.
 	askTimeout = 40 * time.Millisecond
+	// staleMargin is how much older than the freshest one's the knowledge of a
+	// home may be. It is above the time between two answers of the store.
+	staleMargin = 2500 * time.Millisecond
 	// standbys is how many nodes of a service's order are kept connected.
 	standbys = 3
 )
@@ -27,9 +31,9 @@
 	Loop  *placer.Loop
 	Timer *timer.Service
 	Log   *decision.Log
-	// Heard is told of each pong and of the instant at which it was asked for,
-	// where it is not nil.
-	Heard func(p Pong, asked snipeford.Instant)
+	// Knowledge returns how old this node's knowledge of upstreams and routing
+	// is, and false where it has none.
+	Knowledge func() (time.Duration, bool)
 
 	mu    sync.Mutex
 	ctx   context.Context
@@ -122,16 +126,7 @@
 	now := l.Timer.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	chosen, node := (*link)(nil), l.Self.Node
-	for _, id := range l.orders[name] {
-		if id == l.Self.Node {
-			break
-		}
-		if one := l.links[id]; one != nil && one.healthy(now) {
-			chosen, node = one, id
-			break
-		}
-	}
+	chosen, node := l.choose(now, l.orders[name])
 	if l.homes == nil {
 		l.homes = map[snipeford.ServiceName]snipeford.NodeID{}
 	}
@@ -145,6 +140,40 @@
 	return chosen
 }
 
+// choose returns the first node of the order that answers and whose knowledge
+// is not much older than the freshest one's: a home that is cut off from the
+// store would place requests on upstreams that have left.
+func (l *Links) choose(now snipeford.Instant, order []snipeford.NodeID) (*link, snipeford.NodeID) {
+	type candidate struct {
+		link *link
+		node snipeford.NodeID
+		age  time.Duration
+	}
+	var list []candidate
+	freshest := time.Duration(math.MaxInt64)
+	for _, id := range order {
+		var age time.Duration
+		var ok bool
+		one := l.links[id]
+		switch {
+		case id == l.Self.Node:
+			age, ok = l.Knowledge()
+		case one != nil:
+			age, ok = one.knowledge(now)
+		}
+		if ok {
+			list = append(list, candidate{one, id, age})
+			freshest = min(freshest, age)
+		}
+	}
+	for _, c := range list {
+		if c.age <= freshest+staleMargin {
+			return c.link, c.node
+		}
+	}
+	return nil, l.Self.Node
+}
+
 // Place asks the service's home for a place, and decides here where it does
 // not answer in time. It returns which node decided.
 func (l *Links) Place(ctx context.Context, ask snipeford.PlaceAsk) (snipeford.Placement, snipeford.NodeID) {
@@ -176,6 +205,7 @@
 // askHome waits for the home's answer: for a short time, or, once the home has
 // said that the request waits, as long as the home stays healthy.
 func (l *Links) askHome(ctx context.Context, at *link, ask snipeford.PlaceAsk) (snipeford.Placement, bool) {
+	asked := l.Timer.Now()
 	answers, err := at.ask(ask)
 	if err != nil {
 		return snipeford.Placement{}, false
@@ -198,7 +228,7 @@
 				at.suspect(l.Timer.Now())
 				return snipeford.Placement{}, false
 			}
-			if !at.healthy(l.Timer.Now()) {
+			if !at.healthy(l.Timer.Now()) || l.Timer.Now().Sub(asked) > ask.FirstWithin {
 				return snipeford.Placement{}, false
 			}
 		}
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -100,7 +100,7 @@
 	n.balancer = &balancer{timer: t, domain: s.FailureDomain, settings: s}
 	n.pool = &connection.Pool{Timer: t, Opened: func(string) { counts.Opened() }}
 	n.loop = placer.New(s.Node, t)
-	n.links = &grant.Links{Self: n.self, Loop: n.loop, Timer: t, Log: n.log}
+	n.links = &grant.Links{Self: n.self, Loop: n.loop, Timer: t, Log: n.log, Knowledge: n.age}
 	n.peers = &grant.Server{Loop: n.loop, Timer: t, Log: n.log, Knowledge: n.knowledge}
 	n.loop.Deliver = n.peers.Deliver
 	n.follower = &follower{feed: parts.Feed, registry: parts.Registry, timer: t, fresh: &n.fresh, log: n.log, changed: n.viewed}
@@ -121,13 +121,15 @@
 }
 
 func (n *Node) knowledge() (snipeford.Version, time.Duration, bool) {
-	age, ok := n.fresh.Age(n.timer.Elapsed())
+	age, ok := n.age()
 	if v := n.follower.current(); v.Plan != nil {
 		return v.Plan.Version, age, ok
 	}
 	return 0, 0, false
 }
 
+func (n *Node) age() (time.Duration, bool) { return n.fresh.Age(n.timer.Elapsed()) }
+
 // Run serves until ctx ends, then stops gracefully: it says that it is not
 // ready, goes on taking requests while the balancer learns of it, and waits
 // for the last ones as long as the platform allows.
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -25,7 +25,7 @@
 	// hastening is what a first event at its target costs beside one at once.
 	hastening = 0.08
 	// lostShare is what is lost with a caller that leaves a stream.
-	lostShare = 1
+	lostShare = 0.5
 	// otherDomain is what an engine in another failure domain costs.
 	otherDomain = 0.004
 	// giantReading is the reading, in milliseconds, from which a prompt gets as
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -213,6 +213,20 @@
 	if got := len(next.Placed(at(time.Second), "n1")); got != 10 {
 		t.Errorf("got %d requests, want 10", got)
 	}
+	t.Run("and what waits is not forgotten with it", func(t *testing.T) {
+		waits := short("waits")
+		waits.Node = "n1"
+		full := newState(0)
+		full.SetCandidates(placing.Candidates(1))
+		for i := range placing.Profile.Slots {
+			full.Ask(0, short("s"+strconv.Itoa(i)))
+			full.First(0, snipeford.RequestID("s"+strconv.Itoa(i)))
+		}
+		full.Ask(0, waits)
+		full.Forget(0, "n1")
+		full.End(0, "s0", false, "")
+		find(t, full.Next(0), "waits")
+	})
 	next.Forget(at(time.Second), "n1")
 	if got := len(next.Placed(at(time.Second), "n1")); got != 0 {
 		t.Errorf("got %d requests after the node was lost, want none", got)
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -213,12 +213,17 @@
 	return out
 }
 
-// Forget drops the requests of a node that is gone.
+// Forget drops the running requests of a node that is gone, or that is about to
+// tell them anew.
 func (s *State) Forget(now snipeford.Instant, node snipeford.NodeID) {
 	for call, j := range s.jobs {
 		if j.ask.Node == node {
 			s.End(now, call, false, "")
 		}
 	}
+}
+
+// Dismiss drops the waiting requests of a node that is gone.
+func (s *State) Dismiss(node snipeford.NodeID) {
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool { return w.ask.Node == node })
 }
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -16,7 +16,7 @@
 	longestAnswer = 8 << 20
 	// mostTries bounds the upstreams that are asked for one request, those that
 	// did not run it included.
-	mostTries = 4
+	mostTries = 6
 )
 
 // answer is an upstream's whole answer.
@@ -40,8 +40,7 @@
 		if !ok {
 			break
 		}
-		if c.tries > 0 && !c.Balancer.Repeat(name) {
-			c.Log.Decided("no repeat left in the budget", c.head.Request, "Service", name)
+		if !c.mayArrive(name) {
 			c.Balancer.Ended(id, false)
 			break
 		}
@@ -57,7 +56,7 @@
 // tryPlain sends the request to one upstream.
 func (c *call) tryPlain(name snipeford.ServiceName, id snipeford.UpstreamID) (*answer, error) {
 	c.tries++
-	if c.tries > 1 {
+	if c.arrivals > 0 {
 		c.Counts.Repeated(c.route.Kind)
 	}
 	x, err := c.Pool.Do(c.ctx, c.address(name, id), c.request(snipeford.AttemptHead{Upstream: id}), c.Dialect)
@@ -65,11 +64,13 @@
 		var f *connection.Failure
 		if errors.As(err, &f) && f.Sent {
 			c.attempts++
+			c.arrivals++
 		}
 		c.Balancer.Ended(id, c.ctx.Err() == nil)
 		return nil, err
 	}
 	defer x.Close()
+	c.arrivals++
 	a, err := readAnswer(x)
 	if x.Head.HasLoad {
 		c.Balancer.Reported(id, x.Head.Running+x.Head.Waiting)
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -114,9 +114,10 @@
 	body   []byte
 	start  snipeford.Instant
 	giveUp snipeford.Instant
-	// attempts counts the upstreams that may have run the request, and tries
-	// all that were asked.
+	// attempts counts the upstreams that may have run the request, arrivals
+	// those that it may have reached, and tries all that were asked.
 	attempts int
+	arrivals int
 	tries    int
 	excluded []snipeford.UpstreamID
 	// last is the final answer of an upstream that failed the request.
@@ -238,6 +239,16 @@
 // left returns how long the request may still take.
 func (c *call) left() time.Duration { return c.giveUp.Sub(c.Timer.Now()) }
 
+// mayArrive reports whether the request may go to one more upstream: any after
+// the first arrival is a repeat.
+func (c *call) mayArrive(name snipeford.ServiceName) bool {
+	if c.arrivals == 0 || c.Balancer.Repeat(name) {
+		return true
+	}
+	c.Log.Decided("no repeat left in the budget", c.head.Request, "Service", name)
+	return false
+}
+
 // request returns the request for an upstream.
 func (c *call) request(a snipeford.AttemptHead) connection.Request {
 	a.Organisation, a.TimeLeft = c.org, c.left()
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -54,8 +54,7 @@
 		if s.ctx.Err() != nil {
 			break
 		}
-		if s.tries > 0 && !s.Balancer.Repeat(s.name) {
-			s.Log.Decided("no repeat left in the budget", s.head.Request, "Service", s.name)
+		if !s.mayArrive(s.name) {
 			break
 		}
 		p, refused := s.place()
@@ -130,7 +129,7 @@
 // reports whether the request is settled.
 func (s *stream) try(p snipeford.Placement) bool {
 	s.tries++
-	if s.tries > 1 {
+	if s.arrivals > 0 {
 		s.Counts.Repeated(s.route.Kind)
 	}
 	x, err := s.send(p)
@@ -141,6 +140,7 @@
 		return s.lost(p, err)
 	}
 	defer x.Close()
+	s.arrivals++
 	switch {
 	case x.Head.NotRun:
 		fault := s.fault(p, x)
@@ -215,6 +215,7 @@
 	sent := errors.As(err, &f) && f.Sent
 	if sent {
 		s.attempts++
+		s.arrivals++
 	}
 	placeable := errors.Is(err, snipeford.ErrConflict) || errors.Is(err, errUnknownUpstream)
 	s.end(p, s.ctx.Err() == nil && !placeable, "")
--- a/internal/request/relay/stream_test.go
+++ b/internal/request/relay/stream_test.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"snipeford"
 )
 
 func TestStreamIsPassedOn(t *testing.T) {
@@ -72,3 +74,13 @@
 	}
 	assertArrivals(t, g, 1)
 }
+
+// TestUnsentAttemptsAreNoRepeats answers a home that names upstreams which this
+// node does not know any more: nothing was sent, so that the budget of repeats
+// is not touched.
+func TestUnsentAttemptsAreNoRepeats(t *testing.T) {
+	g := newRig(t, events(1, 2, true))
+	g.fleet.order = []snipeford.UpstreamID{"gone", "left", "a"}
+	g.fleet.repeats = false
+	assertAnswer(t, g.call(t, http.MethodPost, "/once/x"), 200, stream(1, 2))
+}
