--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -25,6 +25,18 @@
 	Sync  *Sync                 `json:",omitempty"`
 	Ping  *Ping                 `json:",omitempty"`
 	Pong  *Pong                 `json:",omitempty"`
+	// Subscribe asks for the rows that the peer knows and for all changes.
+	Subscribe *Subscribe `json:",omitempty"`
+	Rows      *Rows      `json:",omitempty"`
+}
+
+// Subscribe has no content.
+type Subscribe struct{}
+
+// Rows brings a batch of a collection that the sender has applied itself.
+type Rows struct {
+	Collection snipeford.Collection
+	Batch      snipeford.Batch
 }
 
 // Hello is the first message on a connection.
--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -26,6 +26,8 @@
 	loop  *placer.Loop
 	stop  context.CancelFunc
 	age   atomic.Int64
+	// rows and confirmed count what feeders brought.
+	rows, confirmed atomic.Int64
 }
 
 // knowledge is how old the node says its knowledge is.
@@ -89,6 +91,12 @@
 	loop := placer.New(self.Node, clock)
 	server := &grant.Server{Loop: loop, Timer: clock, Log: journal, Knowledge: func() (snipeford.Version, time.Duration, bool) { return 1, n.knowledge(), true }}
 	loop.Deliver = server.Deliver
+	server.Subscribe = func(push func(grant.Rows)) func() {
+		for _, c := range []snipeford.Collection{snipeford.OperatorRows, snipeford.UpstreamRows, snipeford.MemberRows} {
+			push(grant.Rows{Collection: c, Batch: snipeford.Batch{Whole: true, Version: 7}})
+		}
+		return func() {}
+	}
 	links := &grant.Links{Self: self, Loop: loop, Timer: clock, Log: journal, Knowledge: func() (time.Duration, bool) { return n.knowledge(), true }}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
@@ -99,6 +107,13 @@
 	time.Sleep(10 * time.Millisecond)
 	loop.Send(placer.Viewed{View: view(peers)})
 	links.View(view(peers))
+	links.Rows = func(grant.Rows) { n.rows.Add(1) }
+	links.Confirmed = func(snipeford.Instant) {
+		if n.rows.Load() < 3 {
+			t.Error("got a confirmation before the rows that it confirms, want it behind them")
+		}
+		n.confirmed.Add(1)
+	}
 	n.links, n.loop, n.stop = links, loop, cancel
 	return n
 }
@@ -201,3 +216,33 @@
 		t.Errorf("got %+v by %s after %v, want the home's place once one is free", p, by, took)
 	}
 }
+
+// TestRowsOfTheStoreAreShared answers a fleet in which each node reads the
+// store: calls grow with the nodes.
+func TestRowsOfTheStoreAreShared(t *testing.T) {
+	many := []snipeford.NodeID{"n1", "n2", "n3", "n4", "n5", "n6"}
+	nodes := start(t, many, "")
+	fed := 0
+	for _, n := range nodes {
+		if n.links.Fed() {
+			fed++
+			if n.rows.Load() < 3 || n.confirmed.Load() == 0 {
+				t.Errorf("got %d collections and %d confirmations, want 3 and some", n.rows.Load(), n.confirmed.Load())
+			}
+		}
+	}
+	if fed != 3 {
+		t.Errorf("got %d nodes that are fed, want 3 of 6", fed)
+	}
+	t.Run("but not by one that knows too little", func(t *testing.T) {
+		for _, n := range nodes {
+			n.age.Store(int64(4 * time.Second))
+		}
+		time.Sleep(300 * time.Millisecond)
+		for name, n := range nodes {
+			if n.links.Fed() {
+				t.Errorf("%s: got fed by old rows, want none", name)
+			}
+		}
+	})
+}
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -46,9 +46,15 @@
 	number   uint64
 	failedAt snipeford.Instant
 	// age is how old the peer's knowledge was at its last pong, if it had any.
-	age     time.Duration
-	known   bool
-	pending map[snipeford.RequestID]chan snipeford.Placement
+	age   time.Duration
+	known bool
+	// pingElapsed is the instant of the last ping, time in suspension included.
+	pingElapsed snipeford.Instant
+	// subscribed links have asked for rows, and brought holds the collections
+	// that have come since.
+	subscribed bool
+	brought    map[snipeford.Collection]bool
+	pending    map[snipeford.RequestID]chan snipeford.Placement
 }
 
 // run connects and reads until ctx ends.
@@ -88,6 +94,7 @@
 	defer l.mu.Unlock()
 	l.wire = w
 	l.pongAt, l.pingAt = 0, 0
+	l.subscribed, l.brought = false, map[snipeford.Collection]bool{}
 	l.pending = map[snipeford.RequestID]chan snipeford.Placement{}
 }
 
@@ -118,6 +125,8 @@
 			l.granted(*f.Grant)
 		case f.Pong != nil:
 			l.ponged(*f.Pong)
+		case f.Rows != nil:
+			l.bring(*f.Rows)
 		}
 	}
 }
@@ -144,7 +153,44 @@
 		l.pongAt = l.links.Timer.Now()
 		l.age, l.known = time.Duration(p.ConfirmedAge)*time.Millisecond, p.Confirmed
 	}
+	complete := current && p.Confirmed && len(l.brought) == collections
+	confirmed := l.pingElapsed.Add(-time.Duration(p.ConfirmedAge+1) * time.Millisecond)
 	l.mu.Unlock()
+	if complete {
+		// The pong came behind all rows that the peer had when it was asked.
+		l.links.Confirmed(confirmed)
+	}
+}
+
+// bring passes rows on before anything that comes behind them.
+func (l *link) bring(r Rows) {
+	l.links.Rows(r)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.brought[r.Collection] = true
+}
+
+// collections returns how many collections the peer has brought.
+func (l *link) collections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.brought)
+}
+
+// subscribe asks for rows once a connection.
+func (l *link) subscribe() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.subscribed || l.wire == nil {
+		return
+	}
+	l.subscribed = true
+	w := l.wire
+	go func() {
+		if err := w.send(Frame{Subscribe: &Subscribe{}}); err != nil {
+			l.links.Log.Failed("feeder not asked", err, "Peer", l.node)
+		}
+	}()
 }
 
 // knowledge returns how old the peer's knowledge is, and false where it has
@@ -177,7 +223,7 @@
 		return
 	}
 	l.number++
-	l.pingAt = now
+	l.pingAt, l.pingElapsed = now, l.links.Timer.Elapsed()
 	frame := Frame{Ping: &Ping{l.number}}
 	l.mu.Unlock()
 	if err := w.send(frame); err != nil {
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -35,12 +35,20 @@
 	// is, and false where it has none.
 	Knowledge func() (time.Duration, bool)
 
+	// Rows takes in rows that a feeder brings, and Confirmed the instant, time in
+	// suspension included, up to which they are complete.
+	Rows      func(Rows)
+	Confirmed func(snipeford.Instant)
+
 	mu    sync.Mutex
 	ctx   context.Context
 	links map[snipeford.NodeID]*link
 	// orders holds the nodes of each service, the home first.
 	orders map[snipeford.ServiceName][]snipeford.NodeID
 	homes  map[snipeford.ServiceName]snipeford.NodeID
+	// feedOrder holds the feeders, and feed is the link to the current one.
+	feedOrder []snipeford.NodeID
+	feed      *link
 }
 
 // Run keeps the links alive until ctx ends.
@@ -57,6 +65,7 @@
 			for _, one := range l.all() {
 				one.ping(now)
 			}
+			l.selectFeed(now)
 		}
 	}
 }
@@ -79,14 +88,13 @@
 	if l.ctx == nil || v.Plan == nil {
 		return
 	}
-	members := []home.Member{{Node: l.Self.Node, Weight: l.Self.Weight}}
-	for id, p := range v.Peers {
-		if id != l.Self.Node {
-			members = append(members, home.Member{Node: id, Weight: p.Weight})
-		}
-	}
+	members := l.membersOf(v)
+	l.feedOrder = l.feeders(members)
 	l.orders = map[snipeford.ServiceName][]snipeford.NodeID{}
 	wanted := map[snipeford.NodeID]bool{}
+	for _, id := range l.feedOrder {
+		wanted[id] = id != l.Self.Node
+	}
 	for name := range v.Usable {
 		if v.Plan.Service(name).Engine == nil {
 			continue
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -29,6 +29,9 @@
 	Log   *decision.Log
 	// Knowledge returns the routing version and the age of its confirmation.
 	Knowledge func() (snipeford.Version, time.Duration, bool)
+	// Subscribe calls push with all rows that are known, and then with each
+	// change, until the returned function is called. Push must not block.
+	Subscribe func(push func(Rows)) (cancel func())
 
 	mu    sync.Mutex
 	peers map[snipeford.NodeID]*wire
@@ -69,7 +72,9 @@
 	node := first.Hello.Node
 	s.join(node, w)
 	s.Log.Believed("peer asks here", "Peer", node, "Incarnation", first.Hello.Incarnation)
-	err := s.read(decoder, node, w)
+	f := &feedWriter{wire: w, frames: make(chan Frame, framesQueued)}
+	defer f.stop()
+	err := s.read(decoder, node, f)
 	s.Log.Believed("peer left", "Peer", node, "Error", err)
 	if s.leave(node, w) && s.Timer.Sleep(ctx, lostAfter) && !s.joined(node) {
 		s.Loop.Send(placer.NodeLost{Node: node})
@@ -122,27 +127,29 @@
 	}()
 }
 
-func (s *Server) read(decoder *json.Decoder, node snipeford.NodeID, w *wire) error {
+func (s *Server) read(decoder *json.Decoder, node snipeford.NodeID, f *feedWriter) error {
 	for {
-		var f Frame
-		if err := decoder.Decode(&f); err != nil {
+		var m Frame
+		if err := decoder.Decode(&m); err != nil {
 			return fmt.Errorf("read peer: %w", trace.ConvertSystemError(err))
 		}
 		switch {
-		case f.Ask != nil:
-			f.Ask.Node = node
-			s.Loop.Send(placer.Asked{Ask: *f.Ask})
-		case f.Adopt != nil:
-			f.Adopt.Ask.Node = node
-			s.Loop.Send(placer.Adopted{Call: *f.Adopt})
-		case f.Began != nil:
-			s.Loop.Send(placer.Began{Service: f.Began.Service, Call: f.Began.Call})
-		case f.Ended != nil:
-			s.Loop.Send(placer.Ended{Service: f.Ended.Service, Call: f.Ended.Call, Failed: f.Ended.Failed, Fault: f.Ended.Fault})
-		case f.Sync != nil:
-			s.Loop.Send(placer.Synced{Node: node, Calls: f.Sync.Calls})
-		case f.Ping != nil:
-			if err := w.send(Frame{Pong: s.pong(f.Ping.Number)}); err != nil {
+		case m.Ask != nil:
+			m.Ask.Node = node
+			s.Loop.Send(placer.Asked{Ask: *m.Ask})
+		case m.Adopt != nil:
+			m.Adopt.Ask.Node = node
+			s.Loop.Send(placer.Adopted{Call: *m.Adopt})
+		case m.Began != nil:
+			s.Loop.Send(placer.Began{Service: m.Began.Service, Call: m.Began.Call})
+		case m.Ended != nil:
+			s.Loop.Send(placer.Ended{Service: m.Ended.Service, Call: m.Ended.Call, Failed: m.Ended.Failed, Fault: m.Ended.Fault})
+		case m.Sync != nil:
+			s.Loop.Send(placer.Synced{Node: node, Calls: m.Sync.Calls})
+		case m.Subscribe != nil:
+			f.start(s.Subscribe)
+		case m.Ping != nil:
+			if err := f.pong(s.pong(m.Ping.Number)); err != nil {
 				return err
 			}
 		}
--- a/internal/operate/command/explain.go
+++ b/internal/operate/command/explain.go
@@ -4,28 +4,41 @@
 	"context"
 	"flag"
 	"fmt"
+	"os"
 
 	"github.com/google/subcommands"
+	"github.com/gravitational/trace"
 
+	"snipeford"
 	"snipeford/internal/fleet/message"
+	"snipeford/internal/operate/decision"
 )
 
-type explainVerb struct{ operator }
+type explainVerb struct {
+	operator
+	log string
+}
 
 func (*explainVerb) Name() string { return "explain" }
 func (*explainVerb) Synopsis() string {
 	return "tell why a request was admitted, queued or refused"
 }
 func (*explainVerb) Usage() string {
-	return "explain REQUEST\n  Print what each node decided about the request with this id (answer header Snipeford-Request). Nodes remember their last 4,096 requests.\n  Example: snipeford explain 6f1d2a\n" + exitHelp
+	return "explain [-log FILE] REQUEST\n  Print what each node decided about the request with this id (answer header Snipeford-Request). Nodes remember their last 4,096 requests.\n  With -log, read the decisions from the nodes' logs in that file instead, in the order of their times.\n  Example: snipeford explain 6f1d2a\n  Example: snipeford explain -log nodes.log 6f1d2a\n" + exitHelp
 }
 
-func (v *explainVerb) SetFlags(f *flag.FlagSet) { v.setFlags(f) }
+func (v *explainVerb) SetFlags(f *flag.FlagSet) {
+	v.setFlags(f)
+	f.StringVar(&v.log, "log", "", "file with the log lines of one or more nodes")
+}
 
 func (v *explainVerb) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
 	if f.NArg() != 1 {
 		return usageFault("explain needs one request id")
 	}
+	if v.log != "" {
+		return v.fromLog(snipeford.RequestID(f.Arg(0)))
+	}
 	api, err := v.api()
 	if err != nil {
 		return fail(err)
@@ -43,3 +56,24 @@
 	}
 	return ExitDone
 }
+
+// fromLog prints the request's story from a file of log lines.
+func (v *explainVerb) fromLog(id snipeford.RequestID) subcommands.ExitStatus {
+	file, err := os.Open(v.log)
+	if err != nil {
+		return fail(fmt.Errorf("open log: %w", trace.ConvertSystemError(err)))
+	}
+	defer file.Close()
+	lines, err := decision.Story(file, id)
+	if err != nil {
+		return fail(err)
+	}
+	if len(lines) == 0 {
+		fmt.Println("no line of this request in the log")
+		return ExitFailed
+	}
+	for _, line := range lines {
+		fmt.Println(line)
+	}
+	return ExitDone
+}
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -104,6 +104,9 @@
 	n.peers = &grant.Server{Loop: n.loop, Timer: t, Log: n.log, Knowledge: n.knowledge}
 	n.loop.Deliver = n.peers.Deliver
 	n.follower = &follower{feed: parts.Feed, registry: parts.Registry, timer: t, fresh: &n.fresh, log: n.log, changed: n.viewed}
+	n.follower.fed = n.links.Fed
+	n.links.Rows, n.links.Confirmed = n.follower.bring, n.fresh.Raise
+	n.peers.Subscribe = n.follower.subscribe
 	n.relay = &relay.Server{
 		Node: s.Node, Domain: s.FailureDomain, View: n.follower.current, Fresh: &n.fresh, Timer: t,
 		Pool: n.pool, Dialect: parts.Dialect, Placer: n.links, Balancer: n.balancer, Memory: parts.Memory,
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -11,6 +11,7 @@
 	"snipeford/internal/control/directory"
 	"snipeford/internal/control/freshness"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/fleet/grant"
 	"snipeford/internal/operate/decision"
 )
 
@@ -28,6 +29,8 @@
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
+	// fedPause is how often a node that is fed looks whether it still is.
+	fedPause = 100 * time.Millisecond
 	// expireEvery is how often rows that stayed missing are dropped.
 	expireEvery = 250 * time.Millisecond
 )
@@ -40,10 +43,23 @@
 	fresh    *freshness.Clock
 	log      *decision.Log
 	changed  func(*directory.View)
+	// fed reports whether another node brings the rows; nil means never.
+	fed func() bool
 
 	mu    sync.Mutex
 	state directory.State
-	view  atomic.Pointer[directory.View]
+	// raw holds the rows of each collection, for other nodes.
+	raw         map[snipeford.Collection]*rows
+	subscribers map[int]func(grant.Rows)
+	subscribed  int
+	view        atomic.Pointer[directory.View]
+}
+
+// rows are the rows of one collection as of a version of the store.
+type rows struct {
+	version uint64
+	known   bool
+	values  map[string][]byte
 }
 
 // current returns the newest view; it is never nil.
@@ -56,10 +72,16 @@
 
 // follow reads a collection until ctx ends: a snapshot first, then its changes.
 func (f *follower) follow(ctx context.Context, c snipeford.Collection, wait time.Duration) error {
-	version, whole, pause, lost := uint64(0), true, firstPause, false
+	whole, pause, lost := true, firstPause, false
 	for ctx.Err() == nil {
+		if f.fed != nil && f.fed() {
+			f.timer.Sleep(ctx, fedPause)
+			whole = false
+			continue
+		}
 		sent := f.timer.Elapsed()
-		batch, err := f.read(ctx, c, whole, version, wait)
+		version, known := f.version(c)
+		batch, err := f.read(ctx, c, whole || !known, version, wait)
 		switch {
 		case errors.Is(err, snipeford.ErrHistoryGone):
 			f.log.Believed("history of the store is gone", "Collection", c, "Version", version)
@@ -78,7 +100,7 @@
 		if lost {
 			f.log.Believed("store answers again", "Collection", c, "Version", batch.Version)
 		}
-		version, whole, pause, lost = batch.Version, false, firstPause, false
+		whole, pause, lost = false, firstPause, false
 		f.apply(c, batch, sent)
 	}
 	return nil
@@ -100,23 +122,107 @@
 	}
 }
 
-// apply takes in a batch. The rows count before the confirmation does, so that
-// no request sees an old view as confirmed.
-func (f *follower) apply(c snipeford.Collection, b snipeford.Batch, sent snipeford.Instant) {
-	if len(b.Changes) > 0 || b.Whole {
-		f.mu.Lock()
-		faults := f.state.Apply(f.timer.Now(), c, b, f.registry)
-		f.publish()
-		f.mu.Unlock()
-		for _, fault := range faults {
-			f.log.Failed("row not understood", fault.Err, "Collection", c, "Key", fault.Key)
-		}
+// version returns up to which version of the store a collection is known.
+func (f *follower) version(c snipeford.Collection) (uint64, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.rowsOf(c)
+	return r.version, r.known
+}
+
+func (f *follower) rowsOf(c snipeford.Collection) *rows {
+	if f.raw == nil {
+		f.raw = map[snipeford.Collection]*rows{}
+	}
+	if f.raw[c] == nil {
+		f.raw[c] = &rows{values: map[string][]byte{}}
 	}
+	return f.raw[c]
+}
+
+// apply takes in a batch of the store. The rows count before the confirmation
+// does, so that no request sees an old view as confirmed.
+func (f *follower) apply(c snipeford.Collection, b snipeford.Batch, sent snipeford.Instant) {
+	f.take(c, b)
 	if c == snipeford.OperatorRows {
 		f.fresh.Confirm(sent, b.StoreTime)
 	}
 }
 
+// bring takes in a batch that another node has applied. What is known already
+// goes no further, so that rows never go round between nodes.
+func (f *follower) bring(r grant.Rows) {
+	if version, known := f.version(r.Collection); known && r.Batch.Version <= version {
+		return
+	}
+	f.take(r.Collection, r.Batch)
+}
+
+// take applies a batch and passes it on, unless newer rows are known already.
+func (f *follower) take(c snipeford.Collection, b snipeford.Batch) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.rowsOf(c)
+	if known.known && b.Version < known.version {
+		return
+	}
+	known.version, known.known = b.Version, known.known || b.Whole
+	if len(b.Changes) == 0 && !b.Whole {
+		return
+	}
+	known.update(b)
+	for _, fault := range f.state.Apply(f.timer.Now(), c, b, f.registry) {
+		f.log.Failed("row not understood", fault.Err, "Collection", c, "Key", fault.Key)
+	}
+	f.publish()
+	for _, push := range f.subscribers {
+		push(grant.Rows{Collection: c, Batch: b})
+	}
+}
+
+func (r *rows) update(b snipeford.Batch) {
+	if b.Whole {
+		clear(r.values)
+	}
+	for _, change := range b.Changes {
+		if change.Removed {
+			delete(r.values, change.Key)
+			continue
+		}
+		r.values[change.Key] = change.Value
+	}
+}
+
+// subscribe pushes all rows that are known, and then each change.
+func (f *follower) subscribe(push func(grant.Rows)) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for c, r := range f.raw {
+		if r.known {
+			push(grant.Rows{Collection: c, Batch: r.batch()})
+		}
+	}
+	if f.subscribers == nil {
+		f.subscribers = map[int]func(grant.Rows){}
+	}
+	f.subscribed++
+	id := f.subscribed
+	f.subscribers[id] = push
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		delete(f.subscribers, id)
+	}
+}
+
+func (r *rows) batch() snipeford.Batch {
+	b := snipeford.Batch{Whole: true, Version: r.version}
+	for key, value := range r.values {
+		b.Changes = append(b.Changes, snipeford.Change{Key: key, Value: value})
+	}
+	return b
+}
+
 // publish makes the state's view the current one. The lock is held.
 func (f *follower) publish() {
 	old, v := f.current(), f.state.View()
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -15,6 +15,7 @@
 	"snipeford/internal/control/directory"
 	"snipeford/internal/control/freshness"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/fleet/grant"
 	"snipeford/internal/operate/decision"
 )
 
@@ -175,3 +176,42 @@
 		t.Error(err)
 	}
 }
+
+func TestRowsForOtherNodes(t *testing.T) {
+	f, _ := follow(t,
+		answer{batch: snipeford.Batch{Whole: true, Version: 5, Changes: version(1)}},
+		answer{batch: snipeford.Batch{Version: 8, Changes: version(2)}},
+	)
+	other := &follower{registry: registry{}, timer: f.timer, fresh: &freshness.Clock{}, log: f.log, changed: func(*directory.View) {}}
+	cancel := f.subscribe(other.bring)
+	if got := other.current().Plan.Version; got != 2 {
+		t.Errorf("got version %d from the whole, want 2", got)
+	}
+	f.take(snipeford.OperatorRows, snipeford.Batch{Version: 9, Changes: version(3)})
+	if got := other.current().Plan.Version; got != 3 {
+		t.Errorf("got version %d from a change, want 3", got)
+	}
+	t.Run("older rows change nothing", func(t *testing.T) {
+		other.bring(grant.Rows{Collection: snipeford.OperatorRows, Batch: snipeford.Batch{Whole: true, Version: 4}})
+		if got, _ := other.version(snipeford.OperatorRows); got != 9 {
+			t.Errorf("got rows of version %d, want 9", got)
+		}
+	})
+	t.Run("they never go round", func(t *testing.T) {
+		defer other.subscribe(f.bring)()
+		pushed := 0
+		defer other.subscribe(func(grant.Rows) { pushed++ })()
+		pushed = 0
+		f.take(snipeford.OperatorRows, snipeford.Batch{Version: 9, Changes: version(3)})
+		if pushed != 0 {
+			t.Errorf("got %d pushes of rows that were known, want none", pushed)
+		}
+	})
+	t.Run("none after the end", func(t *testing.T) {
+		cancel()
+		f.take(snipeford.OperatorRows, snipeford.Batch{Version: 10, Changes: version(4)})
+		if got := other.current().Plan.Version; got != 3 {
+			t.Errorf("got version %d, want 3", got)
+		}
+	})
+}
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -81,6 +81,9 @@
 		if !s.fair(ask, helpers) {
 			continue
 		}
+		if ask.Alone && helpers > 0 && s.fits(ask) {
+			break
+		}
 		if helpers+1 > len(engines) || helpers > 0 && !s.model.Joint {
 			break
 		}
@@ -95,10 +98,15 @@
 	return best, loss, due
 }
 
+// fits reports whether one engine's memory holds the request.
+func (s *State) fits(ask snipeford.PlaceAsk) bool {
+	return ask.Prompt+ask.Output <= snipeford.Tokens(memoryUse*float64(s.model.Memory))
+}
+
 // fair reports whether a prompt may have that many helpers.
 func (s *State) fair(ask snipeford.PlaceAsk, helpers int) bool {
 	whole := s.model.reading(ask.Prompt)
-	if whole <= giantReading {
+	if whole <= giantReading || ask.Alone && s.fits(ask) {
 		return true
 	}
 	limit := giantPatience * ms(ask.Patience)
@@ -231,10 +239,10 @@
 // weighSpread places a prompt whose memory no chosen engine has alone: each
 // sets aside an even part of it.
 func (s *State) weighSpread(ask snipeford.PlaceAsk, chosen []option, w float64) (snipeford.Placement, float64, float64, bool) {
-	need := ask.Prompt + ask.Output
-	if len(chosen) < 2 || need <= snipeford.Tokens(memoryUse*float64(s.model.Memory)) {
+	if len(chosen) < 2 || s.fits(ask) {
 		return snipeford.Placement{}, 0, 0, false
 	}
+	need := ask.Prompt + ask.Output
 	share := need/snipeford.Tokens(len(chosen)) + s.model.Chunk
 	limit := snipeford.Tokens(memoryUse * float64(s.model.Memory))
 	for _, o := range chosen {
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -68,6 +68,23 @@
 	})
 }
 
+// TestPromptWhoseHelpersFail answers the loss of many engines at once: each
+// helper that is gone costs a try.
+func TestPromptWhoseHelpersFail(t *testing.T) {
+	ask := long("a", 154_000)
+	ask.Alone = true
+	if p := find(t, newState(18).Ask(0, ask), "a"); p.Refused || len(p.Helpers) > 0 {
+		t.Errorf("got %+v, want one engine alone", p)
+	}
+	t.Run("but not where it fits none", func(t *testing.T) {
+		ask := long("b", 600_000)
+		ask.Alone = true
+		if p := find(t, newState(18).Ask(0, ask), "b"); p.Refused || len(p.Helpers) == 0 {
+			t.Errorf("got %+v, want several engines", p)
+		}
+	})
+}
+
 func TestHelpersAreFreeAfterTheFirstEvent(t *testing.T) {
 	s := newState(4)
 	s.Ask(0, long("a", 200_000))
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -32,10 +32,16 @@
 	firstByte time.Duration
 	longest   time.Duration
 	lastAt    snipeford.Instant
+	// faults counts the helpers that failed the request.
+	faults int
 	// held is the memory that is set aside for the current attempt.
 	held *tickets
 }
 
+// mostFaults is how many helpers may fail a request until it is read by one
+// engine alone.
+const mostFaults = 2
+
 func newStream(c *call, name snipeford.ServiceName) *stream {
 	s := &stream{call: c, name: name, flush: http.NewResponseController(c.w), lastEvent: c.head.LastEvent, lastID: -1}
 	s.noteID(c.head.LastEvent)
@@ -88,7 +94,7 @@
 		Prompt: s.head.Prompt, Output: s.output(),
 		Target: s.target(), MaxPause: s.route.MaxPause,
 		Silence: s.route.Silence(), FirstWithin: s.route.Silence() - s.silent(),
-		Patience: s.left(), Priority: s.rank, Excluded: s.excluded,
+		Patience: s.left(), Priority: s.rank, Excluded: s.excluded, Alone: s.faults >= mostFaults,
 	})
 	if p.Refused {
 		s.Log.Decided("no place", s.head.Request, "By", by, "PromptTokens", s.head.Prompt)
@@ -144,6 +150,9 @@
 	switch {
 	case x.Head.NotRun:
 		fault := s.fault(p, x)
+		if fault != "" {
+			s.faults++
+		}
 		s.end(p, true, fault)
 		s.exclude(p, fault)
 		s.Log.Decided("upstream did not run the request", s.head.Request, "Upstream", p.Upstream, "Status", x.Status, "Fault", fault)
--- a/placement.go
+++ b/placement.go
@@ -24,6 +24,9 @@
 	Priority int
 	// Excluded upstreams have failed this request.
 	Excluded []UpstreamID
+	// Alone asks for one engine without helpers, where its memory holds the
+	// prompt: several helpers have failed this request.
+	Alone bool
 }
 
 // Placement says where a request runs.
