Move streams whose engine is silent, and give unused memory back

Streams at engines that hang waited until their callers left. Change: after 4.5 s the ticket's state is read from the engines' own report, and an attempt whose memory is not used is given up; resumable streams go on elsewhere after 0.8 of the silence that their callers bear, or 1.6 times the predicted first event; an engine's own word on its load corrects the books for requests of nodes that can't reach the home.

--- a/exchange.go
+++ b/exchange.go
@@ -87,4 +87,6 @@
 type Reservations interface {
 	Reserve(ctx context.Context, u Upstream, ticket string, n Tokens, hold time.Duration) error
 	Release(ctx context.Context, u Upstream, ticket string) error
+	// Used reports whether a request uses the ticket's memory now.
+	Used(ctx context.Context, u Upstream, ticket string) (bool, error)
 }
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -24,6 +24,7 @@
 type Began struct {
 	Service snipeford.ServiceName
 	Call    snipeford.RequestID
+	Load    snipeford.EngineLoad
 }
 
 // Ended says that a request is over. Fault may name the upstream that failed
@@ -80,7 +81,7 @@
 	case Adopted:
 		s.service(e.Call.Ask.Service).Adopt(now, e.Call)
 	case Began:
-		s.service(e.Service).First(now, e.Call)
+		s.service(e.Service).First(now, e.Call, e.Load)
 	case Ended:
 		s.service(e.Service).End(now, e.Call, e.Failed, e.Fault)
 	case Synced:
--- a/internal/experiment/placing/baseline.go
+++ b/internal/experiment/placing/baseline.go
@@ -31,7 +31,7 @@
 func (l *LeastOutstanding) Next(snipeford.Instant) []snipeford.Placement { return nil }
 
 // First changes nothing.
-func (l *LeastOutstanding) First(snipeford.Instant, snipeford.RequestID) {}
+func (l *LeastOutstanding) First(snipeford.Instant, snipeford.RequestID, snipeford.EngineLoad) {}
 
 // End frees the request's place.
 func (l *LeastOutstanding) End(_ snipeford.Instant, call snipeford.RequestID, _ bool, _ snipeford.UpstreamID) {
--- a/internal/experiment/placing/run.go
+++ b/internal/experiment/placing/run.go
@@ -68,7 +68,7 @@
 type Placer interface {
 	Ask(now snipeford.Instant, ask snipeford.PlaceAsk) []snipeford.Placement
 	Next(now snipeford.Instant) []snipeford.Placement
-	First(now snipeford.Instant, call snipeford.RequestID)
+	First(now snipeford.Instant, call snipeford.RequestID, load snipeford.EngineLoad)
 	End(now snipeford.Instant, call snipeford.RequestID, failed bool, fault snipeford.UpstreamID)
 }
 
@@ -240,7 +240,7 @@
 	seen := r.now.Add(hop)
 	if req.first == 0 {
 		req.first = seen
-		r.placer.First(seen, e.Job.ID)
+		r.placer.First(seen, e.Job.ID, snipeford.EngineLoad{})
 	} else {
 		req.longest = max(req.longest, seen.Sub(req.last))
 	}
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -51,6 +51,7 @@
 	Call    snipeford.RequestID
 	Failed  bool                 `json:",omitempty"`
 	Fault   snipeford.UpstreamID `json:",omitempty"`
+	Load    snipeford.EngineLoad `json:",omitzero"`
 }
 
 // Sync brings all running requests of the sender.
--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -207,7 +207,7 @@
 		if p, _ := first.links.Place(context.Background(), ask(call)); p.Refused {
 			t.Fatalf("got %+v, want a place", p)
 		}
-		first.links.Began("s", snipeford.RequestID(call))
+		first.links.Began("s", snipeford.RequestID(call), snipeford.EngineLoad{})
 	}
 	time.AfterFunc(200*time.Millisecond, func() { first.links.Ended("s", "busy00", false, "") })
 	begin := time.Now()
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -244,10 +244,10 @@
 }
 
 // Began tells the home and the own books of a request's first event.
-func (l *Links) Began(name snipeford.ServiceName, call snipeford.RequestID) {
-	l.Loop.Send(placer.Began{Service: name, Call: call})
+func (l *Links) Began(name snipeford.ServiceName, call snipeford.RequestID, load snipeford.EngineLoad) {
+	l.Loop.Send(placer.Began{Service: name, Call: call, Load: load})
 	if at := l.homeOf(name); at != nil {
-		at.tell(Frame{Began: &Progress{Service: name, Call: call}})
+		at.tell(Frame{Began: &Progress{Service: name, Call: call, Load: load}})
 	}
 }
 
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -141,7 +141,7 @@
 			m.Adopt.Ask.Node = node
 			s.Loop.Send(placer.Adopted{Call: *m.Adopt})
 		case m.Began != nil:
-			s.Loop.Send(placer.Began{Service: m.Began.Service, Call: m.Began.Call})
+			s.Loop.Send(placer.Began{Service: m.Began.Service, Call: m.Began.Call, Load: m.Began.Load})
 		case m.Ended != nil:
 			s.Loop.Send(placer.Ended{Service: m.Ended.Service, Call: m.Ended.Call, Failed: m.Ended.Failed, Fault: m.Ended.Fault})
 		case m.Sync != nil:
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -168,6 +168,8 @@
 // option predicts what a part of the prompt does at one engine.
 func (s *State) option(now snipeford.Instant, ask snipeford.PlaceAsk, r *replica, part float64) option {
 	n, context := r.writers()
+	strangers := r.strangers(now)
+	n += strangers
 	base := s.model.pass(n+1, context+ask.Prompt) * r.pace
 	backlog, parts := r.backlog(now)
 	part *= r.pace
@@ -176,7 +178,7 @@
 		residual = base / 2
 	}
 	o := option{r: r, base: base, finish: callerHop + residual + parts + part, first: callerHop + residual + backlog + part + base}
-	if waiting := len(r.jobs) - s.model.Slots; waiting >= 0 && s.model.Slots > 0 {
+	if waiting := len(r.jobs) + strangers - s.model.Slots; waiting >= 0 && s.model.Slots > 0 {
 		o.first += float64(waiting+1) * base * slotTurn
 	}
 	o.harm = s.harm(now, r, base+backlog, part)
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -159,8 +159,9 @@
 	if lateness(due, ms(ask.Target)) > timely && !s.worthNow(now, usable, engines, short) {
 		return snipeford.Placement{}, false
 	}
+	p.Due = duration(due)
 	j := s.commit(now, ask, p)
-	j.due = now.Add(duration(due))
+	j.due = now.Add(p.Due)
 	return p, true
 }
 
@@ -168,7 +169,7 @@
 // here can still be reordered; what waits in an engine can't.
 func (s *State) free(now snipeford.Instant, r *replica, short bool) bool {
 	if short {
-		return len(r.jobs) < s.model.Slots
+		return len(r.jobs)+r.strangers(now) < s.model.Slots
 	}
 	all, _ := r.backlog(now)
 	return all <= freeBacklog
@@ -182,7 +183,7 @@
 		return float64(len(engines)) >= enoughFree*float64(allowed)
 	}
 	for _, r := range engines {
-		if all, _ := r.backlog(now); len(r.jobs) <= s.model.Slots-spareSlots && all <= freeBacklog {
+		if all, _ := r.backlog(now); len(r.jobs)+r.strangers(now) <= s.model.Slots-spareSlots && all <= freeBacklog {
 			return true
 		}
 	}
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -88,7 +88,7 @@
 func TestHelpersAreFreeAfterTheFirstEvent(t *testing.T) {
 	s := newState(4)
 	s.Ask(0, long("a", 200_000))
-	s.First(at(100*time.Millisecond), "a")
+	s.First(at(100*time.Millisecond), "a", snipeford.EngineLoad{})
 	p := find(t, s.Ask(at(110*time.Millisecond), long("b", 200_000)), "b")
 	if len(p.Helpers) == 0 {
 		t.Errorf("got %+v, want helpers: their reading is done", p)
@@ -114,7 +114,7 @@
 	s := newState(1)
 	for i := range placing.Profile.Slots {
 		s.Ask(0, short("s"+strconv.Itoa(i)))
-		s.First(0, snipeford.RequestID("s"+strconv.Itoa(i)))
+		s.First(0, snipeford.RequestID("s"+strconv.Itoa(i)), snipeford.EngineLoad{})
 	}
 	if got := s.Ask(0, short("late")); len(got) != 0 {
 		t.Errorf("got %+v, want no placement: all slots are taken", got)
@@ -125,11 +125,26 @@
 	}
 }
 
+// TestRequestsOfOthers answers a node that can't reach the home and places by
+// itself: the engine tells that it has more to do than the home knows.
+func TestRequestsOfOthers(t *testing.T) {
+	s := newState(2)
+	s.Ask(0, short("a"))
+	busy := find(t, s.Ask(0, short("b")), "b").Upstream
+	s.First(at(100*time.Millisecond), "b", snipeford.EngineLoad{Known: true, Running: 16, Waiting: 3})
+	for i := range 4 {
+		call := snipeford.RequestID("c" + strconv.Itoa(i))
+		if p := find(t, s.Ask(at(110*time.Millisecond), short(string(call))), call); p.Upstream == busy {
+			t.Errorf("got the engine that others have filled, want the other one")
+		}
+	}
+}
+
 func TestTimelyOnesGoFirst(t *testing.T) {
 	s := newState(1)
 	for i := range placing.Profile.Slots {
 		s.Ask(0, short("s"+strconv.Itoa(i)))
-		s.First(0, snipeford.RequestID("s"+strconv.Itoa(i)))
+		s.First(0, snipeford.RequestID("s"+strconv.Itoa(i)), snipeford.EngineLoad{})
 	}
 	s.Ask(0, short("missed"))
 	now := at(400 * time.Millisecond)
@@ -237,7 +252,7 @@
 		full.SetCandidates(placing.Candidates(1))
 		for i := range placing.Profile.Slots {
 			full.Ask(0, short("s"+strconv.Itoa(i)))
-			full.First(0, snipeford.RequestID("s"+strconv.Itoa(i)))
+			full.First(0, snipeford.RequestID("s"+strconv.Itoa(i)), snipeford.EngineLoad{})
 		}
 		full.Ask(0, waits)
 		full.Forget(0, "n1")
@@ -256,7 +271,7 @@
 			s := newState(engines)
 			for i := range engines * 6 {
 				s.Ask(0, short("busy"+strconv.Itoa(i)))
-				s.First(0, snipeford.RequestID("busy"+strconv.Itoa(i)))
+				s.First(0, snipeford.RequestID("busy"+strconv.Itoa(i)), snipeford.EngineLoad{})
 			}
 			b.ReportAllocs()
 			for i := 0; b.Loop(); i++ {
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -49,6 +49,10 @@
 	// suspectUntil is until when it gets no request, after failures in a row.
 	suspectUntil snipeford.Instant
 	failures     int
+	// foreign is how many requests the engine had that are not in the books, as
+	// of foreignAt: those of nodes that could not tell.
+	foreign   int
+	foreignAt snipeford.Instant
 	// heard is when an event of any of its streams came last.
 	heard snipeford.Instant
 	// sent are the instants of the last requests, for the cold rate.
@@ -161,6 +165,24 @@
 	return j.ask.Prompt + j.ask.Output
 }
 
+// foreignFresh is how long an engine's own word on its load counts.
+const foreignFresh = time.Second
+
+// reported takes in the engine's own word on its load.
+func (r *replica) reported(now snipeford.Instant, l snipeford.EngineLoad) {
+	if l.Known {
+		r.foreign, r.foreignAt = max(0, l.Running+l.Waiting-len(r.jobs)), now
+	}
+}
+
+// strangers returns how many requests run here that are not in the books.
+func (r *replica) strangers(now snipeford.Instant) int {
+	if now.Sub(r.foreignAt) > foreignFresh {
+		return 0
+	}
+	return r.foreign
+}
+
 // failed notes a failure.
 func (r *replica) failed(now snipeford.Instant) {
 	wait := min(firstSuspicion<<min(r.failures, 10), longestSuspicion)
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -87,7 +87,7 @@
 	j := s.commit(now, p.Ask, p.Placement)
 	j.start = now.Add(-p.Age)
 	if p.Writing {
-		s.First(now, p.Ask.Call)
+		s.First(now, p.Ask.Call, snipeford.EngineLoad{})
 	}
 }
 
@@ -132,12 +132,13 @@
 	s.longLoadAt = now
 }
 
-// First notes a request's first event.
-func (s *State) First(now snipeford.Instant, call snipeford.RequestID) {
+// First notes a request's first event, with its engine's own word on its load.
+func (s *State) First(now snipeford.Instant, call snipeford.RequestID, load snipeford.EngineLoad) {
 	j, ok := s.jobs[call]
 	if !ok || j.stage == writing {
 		return
 	}
+	s.replica(j.placed.Upstream).reported(now, load)
 	j.stage, j.firstAt = writing, now
 	took := now.Sub(j.start)
 	j.late = took > j.ask.Target
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -76,15 +76,15 @@
 	return snipeford.Placement{Call: a.Call, Upstream: id, Refused: !ok}, "here"
 }
 
-func (f *fleet) Began(snipeford.ServiceName, snipeford.RequestID)           {}
-func (f *fleet) Ended(snipeford.UpstreamID, bool)                           {}
-func (f *fleet) Reported(snipeford.UpstreamID, int)                         {}
-func (f *fleet) Offer(snipeford.ServiceName)                                {}
-func (f *fleet) Repeat(snipeford.ServiceName) bool                          { return f.repeats }
-func (f *fleet) Answered(snipeford.RouteKind, time.Duration, time.Duration) {}
-func (f *fleet) Refused(snipeford.RouteKind, snipeford.Cause)               {}
-func (f *fleet) Broken(snipeford.RouteKind)                                 {}
-func (f *fleet) Repeated(snipeford.RouteKind)                               {}
+func (f *fleet) Began(snipeford.ServiceName, snipeford.RequestID, snipeford.EngineLoad) {}
+func (f *fleet) Ended(snipeford.UpstreamID, bool)                                       {}
+func (f *fleet) Reported(snipeford.UpstreamID, int)                                     {}
+func (f *fleet) Offer(snipeford.ServiceName)                                            {}
+func (f *fleet) Repeat(snipeford.ServiceName) bool                                      { return f.repeats }
+func (f *fleet) Answered(snipeford.RouteKind, time.Duration, time.Duration)             {}
+func (f *fleet) Refused(snipeford.RouteKind, snipeford.Cause)                           {}
+func (f *fleet) Broken(snipeford.RouteKind)                                             {}
+func (f *fleet) Repeated(snipeford.RouteKind)                                           {}
 
 // placer is the fleet as the relay's Placer.
 type placer struct{ *fleet }
@@ -181,12 +181,15 @@
 	}
 	resumable := route("resumable", snipeford.RouteStream)
 	resumable.Resumable = true
+	quick := resumable
+	quick.Name, quick.Prefix, quick.Timeout = "quick", "/quick/", 2900*time.Millisecond
+	quick.Target, quick.MaxPause = 100*time.Millisecond, 100*time.Millisecond
 	engine := &snipeford.EngineProfile{Slots: 1, ReadRate: 1, Chunk: 1, Stride: 1, Memory: 1}
 	return snipeford.Routing{
 		Version: 1,
 		Routes: []snipeford.Route{
 			route("safe", snipeford.RouteSafe), route("unsafe", snipeford.RouteUnsafe), route("once", snipeford.RouteStream),
-			route("keyed", snipeford.RouteSafe), resumable,
+			route("keyed", snipeford.RouteSafe), resumable, quick,
 		},
 		Services: []snipeford.ServiceProfile{{Name: "s", Engine: engine}},
 		Access:   []snipeford.Access{{Organisation: "o", Keys: []string{"good"}}},
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -24,7 +24,7 @@
 // Placer finds engines for requests.
 type Placer interface {
 	Place(ctx context.Context, ask snipeford.PlaceAsk) (snipeford.Placement, snipeford.NodeID)
-	Began(name snipeford.ServiceName, call snipeford.RequestID)
+	Began(name snipeford.ServiceName, call snipeford.RequestID, load snipeford.EngineLoad)
 	Ended(name snipeford.ServiceName, call snipeford.RequestID, failed bool, fault snipeford.UpstreamID)
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -12,6 +13,7 @@
 
 	"snipeford"
 	"snipeford/internal/control/directory"
+	"snipeford/internal/control/timer"
 	"snipeford/internal/request/event"
 	"snipeford/internal/upstream/connection"
 )
@@ -138,7 +140,11 @@
 	if s.arrivals > 0 {
 		s.Counts.Repeated(s.route.Kind)
 	}
-	x, err := s.send(p)
+	attempt, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
+	watch := s.watchFirst(p, cancel)
+	defer func() { watch.Stop() }()
+	x, err := s.send(attempt, p, cancel)
 	if s.held != nil {
 		defer s.freeMemory()
 	}
@@ -161,19 +167,58 @@
 		return s.rejected(p, x)
 	}
 	s.attempts++
-	return s.relay(p, x)
+	return s.relay(p, x, func() {
+		watch.Stop()
+		watch = s.watch(s.patience(), cancel)
+	})
+}
+
+const (
+	// movedShare is the share of its caller's patience with silence after which
+	// a stream is moved: another engine needs the rest for its first event.
+	movedShare = 0.8
+	// overdue is how many times the predicted time a first event may take.
+	overdue = 1.6
+	// leastPatience is the silence that an engine is allowed at least.
+	leastPatience = 300 * time.Millisecond
+)
+
+// errSilent is the cause of an attempt that was given up for its silence.
+var errSilent = errors.New("engine was silent for too long")
+
+// patience returns the silence after which a stream is moved.
+func (s *stream) patience() time.Duration {
+	return time.Duration(movedShare * float64(s.route.Silence()))
+}
+
+// watchFirst gives the attempt up where its first event does not come.
+func (s *stream) watchFirst(p snipeford.Placement, cancel context.CancelCauseFunc) *timer.Watchdog {
+	limit := s.left()
+	if s.route.Resumable && s.attempts+1 < s.route.Attempts {
+		limit = max(s.patience()-s.silent(), leastPatience, time.Duration(overdue*float64(p.Due)))
+	}
+	return s.Timer.Watch(limit, func() { cancel(errSilent) })
+}
+
+// watch gives the attempt up after a silence, where the stream can still go on
+// at another engine.
+func (s *stream) watch(limit time.Duration, cancel context.CancelCauseFunc) *timer.Watchdog {
+	if !s.mayRepeat() {
+		limit = s.left()
+	}
+	return s.Timer.Watch(limit, func() { cancel(errSilent) })
 }
 
 // send sends the request to the placed upstream, with memory set aside where
 // the prompt needs it.
-func (s *stream) send(p snipeford.Placement) (*connection.Exchange, error) {
+func (s *stream) send(ctx context.Context, p snipeford.Placement, giveUp context.CancelCauseFunc) (*connection.Exchange, error) {
 	engines, err := s.engines(p)
 	if err != nil {
 		return nil, &connection.Failure{Err: err}
 	}
 	head := snipeford.AttemptHead{Upstream: p.Upstream, LastEvent: s.lastEvent, Priority: p.Priority, HasPriority: p.Priority > 0}
 	if p.Reserve > 0 {
-		held, at, err := s.reserve(engines, p.Reserve)
+		held, at, err := s.reserve(engines, p.Reserve, giveUp)
 		if err != nil {
 			s.excluded = append(s.excluded, at)
 			return nil, &connection.Failure{Err: err}
@@ -185,7 +230,7 @@
 			head.Helpers = append(head.Helpers, snipeford.Helper{Address: u.Address})
 		}
 	}
-	return s.Pool.Do(s.ctx, engines[0].Address, s.request(head), s.Dialect)
+	return s.Pool.Do(ctx, engines[0].Address, s.request(head), s.Dialect)
 }
 
 // engines returns the placed upstream and its helpers.
@@ -279,8 +324,8 @@
 	s.Placer.Ended(s.name, p.Call, failed, fault)
 }
 
-// relay passes whole events on until the stream ends.
-func (s *stream) relay(p snipeford.Placement, x *connection.Exchange) bool {
+// relay passes whole events on until the stream ends, and tells heard of each.
+func (s *stream) relay(p snipeford.Placement, x *connection.Exchange, heard func()) bool {
 	events := event.NewReader(x)
 	first := true
 	for {
@@ -295,9 +340,10 @@
 			s.Log.Decided("stream broke", s.head.Request, "Upstream", p.Upstream, "Error", err, "Events", s.events, "LastEvent", s.lastEvent)
 			return false
 		}
+		heard()
 		if first {
 			first = false
-			s.Placer.Began(s.name, p.Call)
+			s.Placer.Began(s.name, p.Call, snipeford.EngineLoad{Known: x.Head.HasLoad, Running: x.Head.Running, Waiting: x.Head.Waiting})
 		}
 		if !s.write(x, e) {
 			s.end(p, false, "")
--- a/internal/request/relay/stream_test.go
+++ b/internal/request/relay/stream_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -84,3 +85,41 @@
 	g.fleet.repeats = false
 	assertAnswer(t, g.call(t, http.MethodPost, "/once/x"), 200, stream(1, 2))
 }
+
+// TestSilentEngine answers an engine that hangs, with its connection open: the
+// stream goes on elsewhere before its caller leaves.
+func TestSilentEngine(t *testing.T) {
+	hangs := func(from, to int) func(net.Conn, *http.Request) {
+		return func(c net.Conn, r *http.Request) {
+			if to >= from {
+				events(from, to, true)(unended{c}, r)
+			}
+			time.Sleep(20 * time.Second)
+		}
+	}
+	t.Run("before its first event", func(t *testing.T) {
+		g := newRig(t, hangs(1, 0), events(1, 3, true))
+		assertAnswer(t, g.call(t, http.MethodPost, "/quick/x"), 200, stream(1, 3))
+	})
+	t.Run("in the middle", func(t *testing.T) {
+		g := newRig(t, hangs(1, 2), events(3, 4, true))
+		assertAnswer(t, g.call(t, http.MethodPost, "/quick/x"), 200, stream(1, 4))
+	})
+	t.Run("of a stream that must not run twice", func(t *testing.T) {
+		g := newRig(t, hangs(1, 2), events(3, 4, true))
+		if got := g.call(t, http.MethodPost, "/once/x"); got.err == nil {
+			t.Errorf("got %q as whole, want an error", got.body)
+		}
+		assertArrivals(t, g, 1)
+	})
+}
+
+// unended is a connection on which the last chunk is never written.
+type unended struct{ net.Conn }
+
+func (u unended) Write(b []byte) (int, error) {
+	if string(b) == "0\r\n\r\n" {
+		return len(b), nil
+	}
+	return u.Conn.Write(b)
+}
--- a/internal/request/relay/tickets.go
+++ b/internal/request/relay/tickets.go
@@ -20,6 +20,9 @@
 	ticketHold = 3500 * time.Millisecond
 	// renewEvery lets two renewals in a row get lost.
 	renewEvery = 900 * time.Millisecond
+	// idleCheck is when it is looked whether memory is in use. The platform
+	// allows nine seconds without use.
+	idleCheck = 4500 * time.Millisecond
 	// releaseTries and releasePause bound the tries to free memory; the hold
 	// ends what they could not.
 	releaseTries = 4
@@ -39,7 +42,8 @@
 
 // reserve sets an even share of the memory aside at each engine. Where one has
 // no room, the others are freed and its id is returned.
-func (c *call) reserve(engines []directory.Upstream, share snipeford.Tokens) (*tickets, snipeford.UpstreamID, error) {
+// Memory that is not in use after idleCheck makes giveUp end the attempt.
+func (c *call) reserve(engines []directory.Upstream, share snipeford.Tokens, giveUp context.CancelCauseFunc) (*tickets, snipeford.UpstreamID, error) {
 	t := &tickets{call: c, share: share, held: engines}
 	for i := range engines {
 		t.names = append(t.names, string(c.head.Request)+"-"+strconv.Itoa(c.tries)+"-"+strconv.Itoa(i))
@@ -52,6 +56,8 @@
 	t.cancel = cancel
 	t.done.Add(1)
 	go t.renew(ctx)
+	t.done.Add(1)
+	go t.check(ctx, giveUp)
 	return t, "", nil
 }
 
@@ -85,6 +91,26 @@
 	}
 }
 
+// check gives the attempt up where an engine does not use its memory: the
+// request hangs, and the memory is wanted by others.
+func (t *tickets) check(ctx context.Context, giveUp context.CancelCauseFunc) {
+	defer t.done.Done()
+	if !t.call.Timer.Sleep(ctx, idleCheck) {
+		return
+	}
+	for i, u := range t.held {
+		used, err := t.call.Memory.Used(ctx, u.Upstream, t.names[i])
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil || !used {
+			t.call.Log.Decided("memory set aside is not used", t.call.head.Request, "Upstream", u.ID, "Error", err)
+			giveUp(errSilent)
+			return
+		}
+	}
+}
+
 // free ends the renewals and frees the memory in the background.
 func (t *tickets) free() {
 	t.cancel()
--- a/placement.go
+++ b/placement.go
@@ -41,6 +41,8 @@
 	// one ticket each, zero where the prompt fits the first engine.
 	Reserve  Tokens
 	Priority int
+	// Due is how long the first event should take.
+	Due time.Duration
 	// Queued placements name no upstream yet: the answer comes later.
 	Queued bool
 	// Refused placements name no upstream; RetryAfter says when to come back.
@@ -57,3 +59,11 @@
 	// Writing requests have sent their first event.
 	Writing bool
 }
+
+// EngineLoad is an engine's own word on its load at a request's first event.
+// Its zero value says nothing.
+type EngineLoad struct {
+	Known   bool
+	Running int
+	Waiting int
+}
