--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -179,6 +179,10 @@
 	movedShare = 0.8
 	// overdue is how many times the predicted time a first event may take.
 	overdue = 1.6
+	// leastMoved is the shortest silence after which a stream is moved: passes of
+	// a living engine take up to two seconds, and reading a prompt again
+	// elsewhere delays others.
+	leastMoved = 2500 * time.Millisecond
 	// leastPatience is the silence that an engine is allowed at least.
 	leastPatience = 300 * time.Millisecond
 )
@@ -188,7 +192,7 @@
 
 // patience returns the silence after which a stream is moved.
 func (s *stream) patience() time.Duration {
-	return time.Duration(movedShare * float64(s.route.Silence()))
+	return max(leastMoved, time.Duration(movedShare*float64(s.route.Silence())))
 }
 
 // watchFirst gives the attempt up where its first event does not come.
