Tidy: one table of settings' fields, spans, smaller files, a name of its own for backing services

Cause: the settings of both kinds of node said the same fields twice; the clients of the stand-ins were named like the adapter; stream.go had grown.

--- a/internal/emulate/table/server.go
+++ b/internal/emulate/table/server.go
@@ -11,8 +11,8 @@
 	"time"
 
 	"snipeford"
+	"snipeford/internal/backing/table"
 	"snipeford/internal/control/timer"
-	"snipeford/internal/platform/table"
 )
 
 // Counts is what the table was asked so far.
--- a/internal/operate/command/edge.go
+++ b/internal/operate/command/edge.go
@@ -15,6 +15,7 @@
 	"snipeford/internal/operate/edge"
 	"snipeford/internal/operate/metric"
 	"snipeford/internal/operate/settings"
+	"snipeford/internal/operate/span"
 	"snipeford/platform"
 )
 
@@ -42,6 +43,10 @@
 	if err != nil {
 		return fail(err)
 	}
+	spans, err := span.Open(s.TraceFile)
+	if err != nil {
+		return fail(err)
+	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// A changed settings file is read at the next start: no setting changes
@@ -51,12 +56,15 @@
 	counts := metric.NewEdge(registry)
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: idleConnections}}
 	store := &platform.Store{Address: s.Store, HTTP: client, Called: func(_ string, err error) { counts.Store(err != nil) }}
-	n := edge.New(s, &timer.Service{}, registry, edge.Parts{
+	n := edge.New(s, &timer.Service{}, registry, spans, edge.Parts{
 		Feed: store, Registry: platform.Rows{}, Dialect: platform.Heads{}, Memory: &platform.Orders{HTTP: client},
 	})
 	if err := n.Run(ctx, os.Stdout); err != nil {
 		return fail(err)
 	}
+	if err := spans.Close(context.WithoutCancel(ctx)); err != nil {
+		return fail(err)
+	}
 	return ExitDone
 }
 
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -26,6 +26,7 @@
 	"snipeford/internal/operate/decision"
 	"snipeford/internal/operate/metric"
 	"snipeford/internal/operate/settings"
+	"snipeford/internal/operate/span"
 	"snipeford/internal/request/relay"
 	"snipeford/internal/upstream/connection"
 )
@@ -87,8 +88,8 @@
 	callers  *http.Server
 }
 
-// New builds a node.
-func New(s settings.Edge, t *timer.Service, registry metrics.Registry, parts Parts) *Node {
+// New builds a node that traces to spans.
+func New(s settings.Edge, t *timer.Service, registry metrics.Registry, spans *span.Provider, parts Parts) *Node {
 	// The settings were checked, so that the level is known.
 	level, _ := log.ParseLevel(s.LogLevel)
 	n := &Node{settings: s, timer: t, registry: registry, parts: parts, log: decision.New(s.Node, level, t)}
@@ -110,7 +111,7 @@
 	n.relay = &relay.Server{
 		Node: s.Node, Domain: s.FailureDomain, View: n.follower.current, Fresh: &n.fresh, Timer: t,
 		Pool: n.pool, Dialect: parts.Dialect, Placer: n.links, Balancer: n.balancer, Memory: parts.Memory,
-		Counts: counts, Log: n.log,
+		Counts: counts, Log: n.log, Tracer: spans.Tracer(),
 		KeyAge:     time.Duration(keyShare * float64(s.RevocationBound)),
 		AbsenceAge: time.Duration(absenceShare * float64(s.ConfigurationBound)),
 	}
--- a/internal/operate/node/executor.go
+++ b/internal/operate/node/executor.go
@@ -6,10 +6,10 @@
 	"sync/atomic"
 
 	"snipeford"
+	"snipeford/internal/backing/vm"
 	"snipeford/internal/control/mailbox"
 	"snipeford/internal/control/reducer"
 	"snipeford/internal/fleet/member"
-	"snipeford/internal/platform/vm"
 	"snipeford/internal/rule/version"
 	"snipeford/internal/upstream/engine"
 )
--- a/internal/operate/node/node.go
+++ b/internal/operate/node/node.go
@@ -17,6 +17,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"snipeford"
+	"snipeford/internal/backing/table"
+	"snipeford/internal/backing/vm"
 	"snipeford/internal/control/loop"
 	"snipeford/internal/control/reducer"
 	"snipeford/internal/control/timer"
@@ -28,8 +30,6 @@
 	"snipeford/internal/operate/record"
 	"snipeford/internal/operate/settings"
 	"snipeford/internal/operate/span"
-	"snipeford/internal/platform/table"
-	"snipeford/internal/platform/vm"
 	"snipeford/internal/request/dispatch"
 	"snipeford/internal/request/entry"
 	"snipeford/internal/request/forward"
--- a/internal/operate/settings/edge.go
+++ b/internal/operate/settings/edge.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"time"
 
@@ -24,8 +23,9 @@
 	PeerAddress    string
 	MetricsAddress string
 	// Store is the address of the platform's store.
-	Store    string
-	LogLevel string
+	Store     string
+	LogLevel  string
+	TraceFile string
 	// ProcessorShare is the part of a core that the VM has.
 	ProcessorShare float64
 	// MemoryMegabytes bounds the process.
@@ -44,25 +44,15 @@
 }
 
 var edgeFields = []document.Field[Edge]{
-	{Name: "Node", Allowed: "a name of its own for each node", Required: true, Set: func(s *Edge, v document.Value) error {
-		w, err := v.Word()
-		s.Node = snipeford.NodeID(w)
-		return err
-	}},
-	{Name: "FailureDomain", Allowed: "the failure domain that the VM stands in", Required: true, Set: func(s *Edge, v document.Value) error {
-		w, err := v.Word()
-		s.FailureDomain = snipeford.FailureDomain(w)
-		return err
-	}},
-	edgeAddress("CallerAddress", func(s *Edge) *string { return &s.CallerAddress }),
-	edgeAddress("ReadyAddress", func(s *Edge) *string { return &s.ReadyAddress }),
-	edgeAddress("PeerAddress", func(s *Edge) *string { return &s.PeerAddress }),
-	edgeAddress("MetricsAddress", func(s *Edge) *string { return &s.MetricsAddress }),
-	edgeAddress("Store", func(s *Edge) *string { return &s.Store }),
-	{Name: "LogLevel", Allowed: "debug, info, warn or error", Set: func(s *Edge, v document.Value) (err error) {
-		s.LogLevel, err = v.OneOf("debug", "info", "warn", "error")
-		return err
-	}},
+	word("Node", "a name of its own for each node", func(s *Edge) *snipeford.NodeID { return &s.Node }),
+	word("FailureDomain", "the failure domain that the VM stands in", func(s *Edge) *snipeford.FailureDomain { return &s.FailureDomain }),
+	address("CallerAddress", func(s *Edge) *string { return &s.CallerAddress }),
+	address("ReadyAddress", func(s *Edge) *string { return &s.ReadyAddress }),
+	address("PeerAddress", func(s *Edge) *string { return &s.PeerAddress }),
+	address("MetricsAddress", func(s *Edge) *string { return &s.MetricsAddress }),
+	address("Store", func(s *Edge) *string { return &s.Store }),
+	logLevel(func(s *Edge) *string { return &s.LogLevel }),
+	traceFile(func(s *Edge) *string { return &s.TraceFile }),
 	edgeNumber("ProcessorShare", 0.01, func(s *Edge) *float64 { return &s.ProcessorShare }),
 	edgeNumber("MemoryMegabytes", 32, func(s *Edge) *float64 { return &s.MemoryMegabytes }),
 	edgeTime("RevocationMilliseconds", time.Millisecond, 1000, func(s *Edge) *time.Duration { return &s.RevocationBound }),
@@ -73,18 +63,6 @@
 	edgeNumber("RepeatSlack", 0, func(s *Edge) *float64 { return &s.RepeatSlack }),
 }
 
-func edgeAddress(name string, at func(*Edge) *string) document.Field[Edge] {
-	return document.Field[Edge]{Name: name, Allowed: `an IP number and port such as "10.0.0.7:8080"`, Required: true, Set: func(s *Edge, v document.Value) error {
-		w, err := v.Word()
-		*at(s) = w
-		host, _, bad := net.SplitHostPort(w)
-		if bad != nil || net.ParseIP(host) == nil {
-			return document.ErrValue
-		}
-		return err
-	}}
-}
-
 func edgeNumber(name string, least float64, at func(*Edge) *float64) document.Field[Edge] {
 	return document.Field[Edge]{Name: name, Allowed: fmt.Sprintf("a number of at least %v", least), Required: true, Set: func(s *Edge, v document.Value) (err error) {
 		*at(s), err = v.Number(least)
--- a/internal/operate/settings/settings.go
+++ b/internal/operate/settings/settings.go
@@ -46,16 +46,8 @@
 )
 
 var fields = []document.Field[Settings]{
-	{Name: "Node", Allowed: "a name of its own for each node", Required: true, Set: func(s *Settings, v document.Value) error {
-		w, err := v.Word()
-		s.Node = snipeford.NodeID(w)
-		return err
-	}},
-	{Name: "FailureDomain", Allowed: "the failure domain that the VM stands in", Required: true, Set: func(s *Settings, v document.Value) error {
-		w, err := v.Word()
-		s.FailureDomain = snipeford.FailureDomain(w)
-		return err
-	}},
+	word("Node", "a name of its own for each node", func(s *Settings) *snipeford.NodeID { return &s.Node }),
+	word("FailureDomain", "the failure domain that the VM stands in", func(s *Settings) *snipeford.FailureDomain { return &s.FailureDomain }),
 	address("CallerAddress", func(s *Settings) *string { return &s.CallerAddress }),
 	address("PeerAddress", func(s *Settings) *string { return &s.PeerAddress }),
 	address("OperatorAddress", func(s *Settings) *string { return &s.OperatorAddress }),
@@ -64,14 +56,8 @@
 	service("VMList", func(s *Settings) *string { return &s.VMList }),
 	key("PeerKey", func(s *Settings) *string { return &s.PeerKey }),
 	key("OperatorKey", func(s *Settings) *string { return &s.OperatorKey }),
-	{Name: "TraceFile", Allowed: "a path that traces are written to", Set: func(s *Settings, v document.Value) (err error) {
-		s.TraceFile, err = v.Word()
-		return err
-	}},
-	{Name: "LogLevel", Allowed: "debug, info, warn or error", Set: func(s *Settings, v document.Value) (err error) {
-		s.LogLevel, err = v.OneOf("debug", "info", "warn", "error")
-		return err
-	}},
+	traceFile(func(s *Settings) *string { return &s.TraceFile }),
+	logLevel(func(s *Settings) *string { return &s.LogLevel }),
 	{Name: "Queue", Allowed: "one of " + queue.Table.Names(), Set: func(s *Settings, v document.Value) (err error) {
 		s.Queue, err = v.Word()
 		if _, bad := queue.Table.New(s.Queue); bad != nil {
@@ -92,8 +78,31 @@
 	}},
 }
 
-func address(name string, at func(*Settings) *string) document.Field[Settings] {
-	return document.Field[Settings]{Name: name, Allowed: `an IP number and port such as "10.0.0.7:8080"`, Required: true, Set: func(s *Settings, v document.Value) error {
+// word is a text that has to be there.
+func word[T any, W ~string](name, allowed string, at func(*T) *W) document.Field[T] {
+	return document.Field[T]{Name: name, Allowed: allowed, Required: true, Set: func(s *T, v document.Value) error {
+		w, err := v.Word()
+		*at(s) = W(w)
+		return err
+	}}
+}
+
+func traceFile[T any](at func(*T) *string) document.Field[T] {
+	return document.Field[T]{Name: "TraceFile", Allowed: "a path that traces are written to", Set: func(s *T, v document.Value) (err error) {
+		*at(s), err = v.Word()
+		return err
+	}}
+}
+
+func logLevel[T any](at func(*T) *string) document.Field[T] {
+	return document.Field[T]{Name: "LogLevel", Allowed: "debug, info, warn or error", Set: func(s *T, v document.Value) (err error) {
+		*at(s), err = v.OneOf("debug", "info", "warn", "error")
+		return err
+	}}
+}
+
+func address[T any](name string, at func(*T) *string) document.Field[T] {
+	return document.Field[T]{Name: name, Allowed: `an IP number and port such as "10.0.0.7:8080"`, Required: true, Set: func(s *T, v document.Value) error {
 		w, err := v.Word()
 		*at(s) = w
 		host, _, bad := net.SplitHostPort(w)
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -59,7 +59,9 @@
 	if c.arrivals > 0 {
 		c.Counts.Repeated(c.route.Kind)
 	}
-	x, err := c.Pool.Do(c.ctx, c.address(name, id), c.request(snipeford.AttemptHead{Upstream: id}), c.Dialect)
+	traced, span := c.Tracer.Start(c.ctx, "upstream")
+	defer span.End()
+	x, err := c.Pool.Do(traced, c.address(name, id), c.request(snipeford.AttemptHead{Upstream: id}), c.Dialect)
 	if err != nil {
 		var f *connection.Failure
 		if errors.As(err, &f) && f.Sent {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"snipeford"
 	"snipeford/internal/control/directory"
@@ -162,7 +163,7 @@
 	}
 	g.relay = &relay.Server{
 		View: func() *directory.View { return view }, Fresh: &g.fresh, Timer: clock, Pool: &connection.Pool{Timer: clock},
-		Dialect: dialect{}, Placer: placer{g.fleet}, Balancer: g.fleet, Counts: g.fleet, Log: decision.New("n", log.InfoLevel, clock),
+		Dialect: dialect{}, Placer: placer{g.fleet}, Balancer: g.fleet, Counts: g.fleet, Log: decision.New("n", log.InfoLevel, clock), Tracer: noop.NewTracerProvider().Tracer("test"),
 		KeyAge: time.Minute, AbsenceAge: time.Minute,
 	}
 	g.fresh.Raise(clock.Elapsed())
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -12,6 +12,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"snipeford"
 	"snipeford/internal/control/directory"
 	"snipeford/internal/control/freshness"
@@ -59,6 +61,8 @@
 	Memory   snipeford.Reservations
 	Counts   Counts
 	Log      *decision.Log
+	// Tracer gets a span for each request and for each attempt at an upstream.
+	Tracer trace.Tracer
 	// KeyAge is how old the knowledge of keys may be, and AbsenceAge how old
 	// that of what is not there.
 	KeyAge     time.Duration
@@ -136,7 +140,9 @@
 		c.refuse(refusal)
 		return
 	}
-	ctx, cancel := context.WithTimeoutCause(r.Context(), c.giveUp.Sub(c.start), errGiveUp)
+	traced, span := s.Tracer.Start(r.Context(), "entry")
+	defer span.End()
+	ctx, cancel := context.WithTimeoutCause(traced, c.giveUp.Sub(c.start), errGiveUp)
 	defer cancel()
 	c.ctx = ctx
 	c.serve()
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -5,7 +5,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -13,8 +12,6 @@
 
 	"snipeford"
 	"snipeford/internal/control/directory"
-	"snipeford/internal/control/timer"
-	"snipeford/internal/request/event"
 	"snipeford/internal/upstream/connection"
 )
 
@@ -140,7 +137,9 @@
 	if s.arrivals > 0 {
 		s.Counts.Repeated(s.route.Kind)
 	}
-	attempt, cancel := context.WithCancelCause(s.ctx)
+	traced, span := s.Tracer.Start(s.ctx, "upstream")
+	defer span.End()
+	attempt, cancel := context.WithCancelCause(traced)
 	defer cancel(nil)
 	watch := s.watchFirst(p, cancel)
 	defer func() { watch.Stop() }()
@@ -173,46 +172,6 @@
 	})
 }
 
-const (
-	// movedShare is the share of its caller's patience with silence after which
-	// a stream is moved: another engine needs the rest for its first event.
-	movedShare = 0.8
-	// overdue is how many times the predicted time a first event may take.
-	overdue = 1.6
-	// leastMoved is the shortest silence after which a stream is moved: passes of
-	// a living engine take up to two seconds, and reading a prompt again
-	// elsewhere delays others.
-	leastMoved = 2500 * time.Millisecond
-	// leastPatience is the silence that an engine is allowed at least.
-	leastPatience = 300 * time.Millisecond
-)
-
-// errSilent is the cause of an attempt that was given up for its silence.
-var errSilent = errors.New("engine was silent for too long")
-
-// patience returns the silence after which a stream is moved.
-func (s *stream) patience() time.Duration {
-	return max(leastMoved, time.Duration(movedShare*float64(s.route.Silence())))
-}
-
-// watchFirst gives the attempt up where its first event does not come.
-func (s *stream) watchFirst(p snipeford.Placement, cancel context.CancelCauseFunc) *timer.Watchdog {
-	limit := s.left()
-	if s.route.Resumable && s.attempts+1 < s.route.Attempts {
-		limit = max(s.patience()-s.silent(), leastPatience, time.Duration(overdue*float64(p.Due)))
-	}
-	return s.Timer.Watch(limit, func() { cancel(errSilent) })
-}
-
-// watch gives the attempt up after a silence, where the stream can still go on
-// at another engine.
-func (s *stream) watch(limit time.Duration, cancel context.CancelCauseFunc) *timer.Watchdog {
-	if !s.mayRepeat() {
-		limit = s.left()
-	}
-	return s.Timer.Watch(limit, func() { cancel(errSilent) })
-}
-
 // send sends the request to the placed upstream, with memory set aside where
 // the prompt needs it.
 func (s *stream) send(ctx context.Context, p snipeford.Placement, giveUp context.CancelCauseFunc) (*connection.Exchange, error) {
@@ -328,80 +287,6 @@
 	s.Placer.Ended(s.name, p.Call, failed, fault)
 }
 
-// relay passes whole events on until the stream ends, and tells heard of each.
-func (s *stream) relay(p snipeford.Placement, x *connection.Exchange, heard func()) bool {
-	events := event.NewReader(x)
-	first := true
-	for {
-		e, err := events.Next()
-		if errors.Is(err, io.EOF) {
-			s.end(p, false, "")
-			return s.complete(x)
-		}
-		if err != nil {
-			s.end(p, s.ctx.Err() == nil, "")
-			s.exclude(p, "")
-			s.Log.Decided("stream broke", s.head.Request, "Upstream", p.Upstream, "Error", err, "Events", s.events, "LastEvent", s.lastEvent)
-			return false
-		}
-		heard()
-		if first {
-			first = false
-			s.Placer.Began(s.name, p.Call, snipeford.EngineLoad{Known: x.Head.HasLoad, Running: x.Head.Running, Waiting: x.Head.Waiting})
-		}
-		if !s.write(x, e) {
-			s.end(p, false, "")
-			s.over()
-			s.abort("caller left", s.ctx.Err())
-		}
-	}
-}
-
-// write passes one event on, unless the caller has it already.
-func (s *stream) write(x *connection.Exchange, e event.Event) bool {
-	if n, err := strconv.ParseInt(e.ID, 10, 64); err == nil {
-		if n <= s.lastID {
-			return true
-		}
-		s.lastID = n
-	}
-	if e.ID != "" {
-		s.lastEvent = e.ID
-	}
-	now := s.Timer.Now()
-	if !s.begun {
-		s.begun = true
-		s.firstByte = now.Sub(s.start)
-		copyHeader(s.w.Header(), x.Header)
-		s.w.Header().Del("Content-Length")
-		s.w.WriteHeader(x.Status)
-	} else {
-		s.longest = max(s.longest, now.Sub(s.lastAt))
-	}
-	s.lastAt = now
-	s.events++
-	if _, err := s.w.Write(e.Raw); err != nil {
-		return false
-	}
-	return s.flush.Flush() == nil
-}
-
-// complete ends a stream that its upstream ended.
-func (s *stream) complete(x *connection.Exchange) bool {
-	if !s.begun {
-		s.begun = true
-		copyHeader(s.w.Header(), x.Header)
-		s.w.WriteHeader(x.Status)
-	}
-	took := s.Timer.Now().Sub(s.start)
-	s.Counts.Answered(s.route.Kind, s.firstByte, took)
-	if s.firstByte > s.route.Target || s.longest > s.route.MaxPause {
-		s.Log.Decided("answer late", s.head.Request, "FirstEventMs", s.firstByte.Milliseconds(), "LongestPauseMs", s.longest.Milliseconds(),
-			"TargetMs", s.route.Target.Milliseconds(), "MaxPauseMs", s.route.MaxPause.Milliseconds(), "PromptTokens", s.head.Prompt)
-	}
-	return true
-}
-
 // finish gives the final answer where the stream is not whole.
 func (s *stream) finish(refused *refusal) {
 	switch {
--- /dev/null
+++ b/internal/request/relay/watch.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/control/timer"
+)
+
+const (
+	// movedShare is the share of its caller's patience with silence after which
+	// a stream is moved: another engine needs the rest for its first event.
+	movedShare = 0.8
+	// overdue is how many times the predicted time a first event may take.
+	overdue = 1.6
+	// leastMoved is the shortest silence after which a stream is moved: passes of
+	// a living engine take up to two seconds, and reading a prompt again
+	// elsewhere delays others.
+	leastMoved = 2500 * time.Millisecond
+	// leastPatience is the silence that an engine is allowed at least.
+	leastPatience = 300 * time.Millisecond
+)
+
+// errSilent is the cause of an attempt that was given up for its silence.
+var errSilent = errors.New("engine was silent for too long")
+
+// patience returns the silence after which a stream is moved.
+func (s *stream) patience() time.Duration {
+	return max(leastMoved, time.Duration(movedShare*float64(s.route.Silence())))
+}
+
+// watchFirst gives the attempt up where its first event does not come.
+func (s *stream) watchFirst(p snipeford.Placement, cancel context.CancelCauseFunc) *timer.Watchdog {
+	limit := s.left()
+	if s.route.Resumable && s.attempts+1 < s.route.Attempts {
+		limit = max(s.patience()-s.silent(), leastPatience, time.Duration(overdue*float64(p.Due)))
+	}
+	return s.Timer.Watch(limit, func() { cancel(errSilent) })
+}
+
+// watch gives the attempt up after a silence, where the stream can still go on
+// at another engine.
+func (s *stream) watch(limit time.Duration, cancel context.CancelCauseFunc) *timer.Watchdog {
+	if !s.mayRepeat() {
+		limit = s.left()
+	}
+	return s.Timer.Watch(limit, func() { cancel(errSilent) })
+}
