Feed rows within a failure domain, try the queue at intervals, shuffle the engines for each node

Ruled out: links (the bad seconds began after the cut), memory. Change: each node has an order of engines of its own; a turn of the queue that placed nothing is followed by 8 ms of quiet; feeders serve their own failure domain, one for 16 nodes; nodes that are neither home nor feeder are pinged every second.

--- a/internal/control/placer/loop.go
+++ b/internal/control/placer/loop.go
@@ -29,7 +29,7 @@
 // New returns a loop of the node; Run starts it.
 func New(node snipeford.NodeID, t *timer.Service) *Loop {
 	return &Loop{
-		Node: node, Timer: t,
+		Node: node, Timer: t, state: State{Node: node},
 		events:  make(chan Event, queueSize),
 		done:    make(chan struct{}),
 		waiting: map[snipeford.RequestID]chan snipeford.Placement{},
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -3,9 +3,12 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"snipeford"
 	"snipeford/internal/control/directory"
 	"snipeford/internal/policy/placement"
@@ -68,6 +71,9 @@
 
 // State knows the engines of all services.
 type State struct {
+	// Node shuffles the order of engines, so that nodes that decide by
+	// themselves prefer different ones.
+	Node     snipeford.NodeID
 	services map[snipeford.ServiceName]*placement.State
 	out      []Granted
 }
@@ -155,7 +161,7 @@
 		}
 		service := s.service(name)
 		service.Configure(*profile.Engine, profile.ColdRate)
-		service.SetCandidates(candidates(list))
+		service.SetCandidates(s.candidates(list))
 	}
 	for name, service := range s.services {
 		if _, ok := v.Usable[name]; !ok {
@@ -164,11 +170,13 @@
 	}
 }
 
-func candidates(list []directory.Upstream) []placement.Candidate {
+func (s *State) candidates(list []directory.Upstream) []placement.Candidate {
 	out := make([]placement.Candidate, 0, len(list))
 	for _, u := range list {
 		out = append(out, placement.Candidate{ID: u.ID, Domain: u.Domain, ColdUntil: u.ColdUntil})
 	}
+	rank := func(c placement.Candidate) uint64 { return xxhash.Sum64String(string(s.Node) + "|" + string(c.ID)) }
+	slices.SortFunc(out, func(a, b placement.Candidate) int { return cmp.Compare(rank(a), rank(b)) })
 	return out
 }
 
--- /dev/null
+++ b/internal/control/placer/state_test.go
@@ -0,0 +1,41 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/control/directory"
+	"snipeford/internal/control/placer"
+	"snipeford/internal/rule/plan"
+)
+
+func view() *directory.View {
+	engine := &snipeford.EngineProfile{Slots: 16, Memory: 300_000, Step: time.Millisecond, ReadRate: 100_000, Chunk: 2_000, Stride: 50}
+	r := snipeford.Routing{Version: 1, Services: []snipeford.ServiceProfile{{Name: "s", Engine: engine}}}
+	v := &directory.View{Plan: plan.New(r), Usable: map[snipeford.ServiceName][]directory.Upstream{}}
+	for _, id := range []snipeford.UpstreamID{"a", "b", "c", "d", "e", "f", "g", "h"} {
+		v.Usable["s"] = append(v.Usable["s"], directory.Upstream{Upstream: snipeford.Upstream{ID: id}})
+	}
+	return v
+}
+
+// TestLoneNodesSpread answers nodes that are cut off from each other: each
+// decides by itself, and none knows what the others place.
+func TestLoneNodesSpread(t *testing.T) {
+	used := map[snipeford.UpstreamID]int{}
+	for _, node := range []snipeford.NodeID{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9", "n10", "n11", "n12"} {
+		s := placer.State{Node: node}
+		s.Apply(0, placer.Viewed{View: view()})
+		ask := snipeford.PlaceAsk{
+			Call: "r", Node: node, Service: "s", Prompt: 1_000, Output: 100, Target: 300 * time.Millisecond,
+			MaxPause: 250 * time.Millisecond, Patience: time.Second, Silence: 2 * time.Second, FirstWithin: time.Second,
+		}
+		for _, g := range s.Apply(0, placer.Asked{Ask: ask}) {
+			used[g.Placement.Upstream]++
+		}
+	}
+	if len(used) < 4 {
+		t.Errorf("got %v, want the nodes on different engines", used)
+	}
+}
--- a/internal/fleet/grant/feed.go
+++ b/internal/fleet/grant/feed.go
@@ -14,10 +14,8 @@
 	// framesQueued is how many messages wait for a slow subscriber. Beyond it
 	// the connection is closed, and the subscriber begins anew.
 	framesQueued = 128
-	// feedersOf is how many nodes one feeder serves, and leastFeeders how many
-	// feeders there are at least.
-	feedersOf    = 16
-	leastFeeders = 3
+	// feedersOf is how many nodes of a failure domain one feeder serves.
+	feedersOf = 16
 	// feedAge is how old the knowledge of a feeder may be. It is above the time
 	// between two answers of the store, and well below the age at which keys
 	// are not honoured any more.
@@ -102,14 +100,19 @@
 	}
 }
 
-// feeders returns the nodes that follow the store for the others, the one that
-// this node prefers first.
-func (l *Links) feeders(members []home.Member) []snipeford.NodeID {
-	count := max(leastFeeders, len(members)/feedersOf)
-	order := home.Rank(feedersName, members)
-	order = order[:min(count, len(order))]
-	own := home.Rank(feedersName+snipeford.ServiceName("|"+l.Self.Node), memberList(order))
-	return own
+// feeders returns the nodes of this node's failure domain that follow the store
+// for the others there, the one that this node prefers first. Rows never pass
+// between failure domains, where bytes are dear.
+func (l *Links) feeders(v *directory.View) []snipeford.NodeID {
+	near := []home.Member{{Node: l.Self.Node, Weight: l.Self.Weight}}
+	for id, p := range v.Peers {
+		if id != l.Self.Node && p.Domain == l.Self.Domain {
+			near = append(near, home.Member{Node: id, Weight: p.Weight})
+		}
+	}
+	count := 1 + len(near)/feedersOf
+	order := home.Rank(feedersName, near)
+	return home.Rank(feedersName+snipeford.ServiceName("|"+l.Self.Node), memberList(order[:min(count, len(order))]))
 }
 
 func memberList(nodes []snipeford.NodeID) []home.Member {
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -231,6 +231,13 @@
 	}
 }
 
+// unanswered reports whether a ping is open, or none was answered yet.
+func (l *link) unanswered() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.pongAt < l.pingAt || l.pongAt == 0
+}
+
 // healthy reports whether the peer answered lately.
 func (l *link) healthy(now snipeford.Instant) bool {
 	l.mu.Lock()
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -18,6 +18,9 @@
 	// askTimeout is how long a home may take. Nodes of one region are a few
 	// milliseconds apart; without an answer the entry node decides itself.
 	askTimeout = 40 * time.Millisecond
+	// standbyPings is how much seldomer nodes are asked that are neither home nor
+	// feeder.
+	standbyPings = 10
 	// staleMargin is how much older than the freshest one's the knowledge of a
 	// home may be. It is above the time between two answers of the store.
 	staleMargin = 2500 * time.Millisecond
@@ -57,19 +60,37 @@
 	l.ctx = ctx
 	l.mu.Unlock()
 	ticks := l.Timer.Every(ctx, pingEvery)
-	for {
+	for n := 0; ; n++ {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-ticks:
 			for _, one := range l.all() {
-				one.ping(now)
+				if n%standbyPings == 0 || l.inUse(one) {
+					one.ping(now)
+				}
 			}
 			l.selectFeed(now)
 		}
 	}
 }
 
+// inUse reports whether the link leads to a home or to this node's feeder, or
+// has not answered yet.
+func (l *Links) inUse(one *link) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if one == l.feed || one.unanswered() {
+		return true
+	}
+	for _, id := range l.homes {
+		if id == one.node {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Links) all() []*link {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -89,7 +110,7 @@
 		return
 	}
 	members := l.membersOf(v)
-	l.feedOrder = l.feeders(members)
+	l.feedOrder = l.feeders(v)
 	l.orders = map[snipeford.ServiceName][]snipeford.NodeID{}
 	wanted := map[snipeford.NodeID]bool{}
 	for _, id := range l.feedOrder {
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -27,6 +27,8 @@
 	spareSlots = 2
 	// timely is the lateness below which a placement is taken at once.
 	timely = 0.4
+	// quietTime is how long nothing is tried after a turn that placed nothing.
+	quietTime = 8 * time.Millisecond
 	// looked is how many waiting requests are tried in one turn.
 	looked = 4
 	// passesToFirst is how many passes go by until a first event: on average
@@ -60,16 +62,27 @@
 	return ask
 }
 
-// Ask takes in a request and returns the placements that it brings about. A
-// request that is not among them waits.
+// Ask takes in a request and returns its placement, if it has one at once. A
+// request that is not among the placements waits.
 func (s *State) Ask(now snipeford.Instant, ask snipeford.PlaceAsk) []snipeford.Placement {
-	s.waiting = append(s.waiting, &waiting{ask: ask, at: now, reading: s.model.reading(ask.Prompt)})
-	return s.Next(now)
+	w := &waiting{ask: ask, at: now, reading: s.model.reading(ask.Prompt)}
+	if s.hopeless(ask) {
+		return []snipeford.Placement{s.refuse(ask)}
+	}
+	s.decay(now)
+	s.arrange()
+	if p, ok := s.place(now, w, ask); ok {
+		return []snipeford.Placement{p}
+	}
+	s.waiting = append(s.waiting, w)
+	return nil
 }
 
-// Next places waiting requests, and refuses those whose time is over.
+// Next places waiting requests, and refuses those whose time is over. After a
+// turn that placed nothing it does nothing for a while: weighing costs processor
+// time, and what waits for a place seldom finds one in the next millisecond.
 func (s *State) Next(now snipeford.Instant) []snipeford.Placement {
-	if len(s.waiting) == 0 {
+	if len(s.waiting) == 0 || now < s.nextAt {
 		return nil
 	}
 	s.decay(now)
@@ -80,7 +93,7 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(w *waiting) bool {
 		ask := w.left(now)
 		if s.hopeless(ask) {
-			out = append(out, snipeford.Placement{Call: ask.Call, Node: ask.Node, Refused: true, RetryAfter: s.returnAfter(ask)})
+			out = append(out, s.refuse(ask))
 			return true
 		}
 		if tried >= looked {
@@ -94,9 +107,16 @@
 		out = append(out, p)
 		return true
 	})
+	if len(out) == 0 {
+		s.nextAt = now.Add(quietTime)
+	}
 	return out
 }
 
+func (s *State) refuse(ask snipeford.PlaceAsk) snipeford.Placement {
+	return snipeford.Placement{Call: ask.Call, Node: ask.Node, Refused: true, RetryAfter: s.returnAfter(ask)}
+}
+
 // hopeless reports whether a request is refused: nothing can serve it in its
 // time, or its caller is about to leave.
 func (s *State) hopeless(ask snipeford.PlaceAsk) bool {
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -23,6 +23,8 @@
 	// pauses.
 	kept    int
 	waiting []*waiting
+	// nextAt is when waiting requests are tried next.
+	nextAt snipeford.Instant
 }
 
 // Candidate is an engine that may get requests.
