--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # The verbs a maintainer uses. "make" lists them.
 GO ?= go
 
-.PHONY: help build check fmt lint test demo bench prove slopes docs generate
+.PHONY: help build check fmt lint test demo bench prove soak slopes docs generate
 
 help: ## list the verbs
 	@grep -hE '^[a-z]+:.*## ' $(MAKEFILE_LIST) | sed -E 's/^([a-z]+):.*## /\1\t/' | expand -t 12
@@ -37,6 +37,9 @@
 	$(GO) test -count=1 -run TestProperties ./internal/control/reducer -rapid.checks=3000 -rapid.seed=7
 	./bin/standin prove
 
+soak: build ## inject faults into nodes of the users' platform, by fresh seeds
+	./bin/standin soak -seeds 10
+
 slopes: build ## measure what control costs as nodes and replicas grow
 	./bin/standin slopes
 
--- a/cmd/standin/verb/verb.go
+++ b/cmd/standin/verb/verb.go
@@ -20,7 +20,7 @@
 
 // Table lists the verbs.
 var Table = []subcommands.Command{
-	&tableVerb{}, &vmsVerb{}, &engineVerb{}, &serviceVerb{}, &loadVerb{}, &demoVerb{}, &benchVerb{}, &pathVerb{}, &proveVerb{}, &slopesVerb{},
+	&tableVerb{}, &vmsVerb{}, &engineVerb{}, &serviceVerb{}, &loadVerb{}, &demoVerb{}, &benchVerb{}, &pathVerb{}, &proveVerb{}, &slopesVerb{}, &soakVerb{},
 }
 
 // Run parses the process's arguments and runs the verb. The result is the
