--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -103,16 +103,20 @@
 	return ask.Prompt+ask.Output <= snipeford.Tokens(memoryUse*float64(s.model.Memory))
 }
 
-// fair reports whether a prompt may have that many helpers.
+// fair reports whether a prompt may have that many helpers: a giant gets the
+// fewest that serve it in time.
 func (s *State) fair(ask snipeford.PlaceAsk, helpers int) bool {
 	whole := s.model.reading(ask.Prompt)
 	if whole <= giantReading || ask.Alone && s.fits(ask) {
 		return true
 	}
 	limit := giantPatience * ms(ask.Patience)
-	enough := whole/float64(helpers+1) <= limit
-	fewer := helpers > 0 && whole/float64(helpers) <= limit
-	return enough && !fewer
+	for _, fewest := range helperCounts {
+		if whole/float64(fewest+1) <= limit {
+			return helpers == fewest
+		}
+	}
+	return helpers == helperCounts[len(helperCounts)-1]
 }
 
 // retryLater is when a caller may come back that no engine can take.
@@ -170,9 +174,8 @@
 	n, context := r.writers()
 	strangers := r.strangers(now)
 	n += strangers
-	base := s.model.pass(n+1, context+ask.Prompt) * r.pace
+	base := s.model.pass(n+1, context+ask.Prompt)
 	backlog, parts := r.backlog(now)
-	part *= r.pace
 	residual := 0.0
 	if n > 0 || backlog > 0 {
 		residual = base / 2
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -68,6 +68,17 @@
 	})
 }
 
+// TestEveryGiantFindsEngines answers prompts of any length beyond one engine:
+// each needs another number of engines.
+func TestEveryGiantFindsEngines(t *testing.T) {
+	for tokens := snipeford.Tokens(320_000); tokens <= 900_000; tokens += 20_000 {
+		p := find(t, newState(18).Ask(0, long("a", tokens)), "a")
+		if p.Refused || len(p.Helpers) == 0 {
+			t.Errorf("%d tokens: got %+v, want several engines", tokens, p)
+		}
+	}
+}
+
 // TestPromptWhoseHelpersFail answers the loss of many engines at once: each
 // helper that is gone costs a try.
 func TestPromptWhoseHelpersFail(t *testing.T) {
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -44,8 +44,6 @@
 	// the engine's order: helpers' parts go ahead. It stands as of readsAt.
 	reads   []read
 	readsAt snipeford.Instant
-	// pace is the measured time of first events over the predicted one.
-	pace float64
 	// suspectUntil is until when it gets no request, after failures in a row.
 	suspectUntil snipeford.Instant
 	failures     int
@@ -53,8 +51,6 @@
 	// of foreignAt: those of nodes that could not tell.
 	foreign   int
 	foreignAt snipeford.Instant
-	// heard is when an event of any of its streams came last.
-	heard snipeford.Instant
 	// sent are the instants of the last requests, for the cold rate.
 	sent []snipeford.Instant
 }
@@ -69,7 +65,7 @@
 
 func newReplica(id snipeford.UpstreamID, domain snipeford.FailureDomain) *replica {
 	return &replica{
-		id: id, domain: domain, pace: 1,
+		id: id, domain: domain,
 		jobs:  map[snipeford.RequestID]*job{},
 		parts: map[snipeford.RequestID]*job{},
 	}
@@ -112,7 +108,7 @@
 // addReading adds a job's part to the reading.
 func (r *replica) addReading(now snipeford.Instant, j *job, helper bool) {
 	r.advance(now)
-	one := read{j, helper, j.part * r.pace}
+	one := read{j, helper, j.part}
 	at := len(r.reads)
 	if helper {
 		at = slices.IndexFunc(r.reads, func(o read) bool { return !o.helper })
@@ -191,8 +187,8 @@
 }
 
 // succeeded notes a sign of life.
-func (r *replica) succeeded(now snipeford.Instant) {
-	r.failures, r.suspectUntil, r.heard = 0, 0, now
+func (r *replica) succeeded() {
+	r.failures, r.suspectUntil = 0, 0
 }
 
 // sentLately counts the requests of the last second.
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -145,7 +145,7 @@
 	took := now.Sub(j.start)
 	j.late = took > j.ask.Target
 	first := s.replica(j.placed.Upstream)
-	first.succeeded(now)
+	first.succeeded()
 	first.dropReading(now, j)
 	s.freeParts(now, j)
 }
@@ -191,7 +191,7 @@
 		return
 	}
 	if j.stage == writing {
-		first.succeeded(now)
+		first.succeeded()
 	}
 }
 
