Keep lapsed rows at nodes that are fed, and take a view that comes before the links run

A view that came before the links had started was lost, and the node stayed its own home until the next change. Change: rows say that the store has failed the sender lately; an early view is taken in at the start.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -96,6 +96,12 @@
 // Failed notes that the store did not answer.
 func (s *State) Failed(now snipeford.Instant) { s.failed, s.failedAt = true, now }
 
+// Outage reports whether the store has failed to answer lately, so that rows
+// may have lapsed without their upstreams.
+func (s *State) Outage(now snipeford.Instant) bool {
+	return s.failed && now.Sub(s.failedAt) < outageMemory
+}
+
 func (s *State) applyOperator(b snipeford.Batch, registry snipeford.Registry) []Fault {
 	var faults []Fault
 	if b.Whole {
@@ -168,8 +174,7 @@
 	if !ok {
 		return
 	}
-	outage := s.failed && now.Sub(s.failedAt) < outageMemory
-	if !outage || u.Leaving {
+	if !s.Outage(now) || u.Leaving {
 		delete(s.upstreams, id)
 		return
 	}
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -37,6 +37,9 @@
 type Rows struct {
 	Collection snipeford.Collection
 	Batch      snipeford.Batch
+	// Outage says that the store has failed the sender lately: rows that are
+	// missing may have lapsed.
+	Outage bool `json:",omitempty"`
 }
 
 // Hello is the first message on a connection.
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -43,8 +43,10 @@
 	Rows      func(Rows)
 	Confirmed func(snipeford.Instant)
 
-	mu    sync.Mutex
-	ctx   context.Context
+	mu  sync.Mutex
+	ctx context.Context
+	// early is a view that came before Run.
+	early *directory.View
 	links map[snipeford.NodeID]*link
 	// orders holds the nodes of each service, the home first.
 	orders map[snipeford.ServiceName][]snipeford.NodeID
@@ -58,7 +60,11 @@
 func (l *Links) Run(ctx context.Context) error {
 	l.mu.Lock()
 	l.ctx = ctx
+	early := l.early
 	l.mu.Unlock()
+	if early != nil {
+		l.View(early)
+	}
 	ticks := l.Timer.Every(ctx, pingEvery)
 	for n := 0; ; n++ {
 		select {
@@ -106,7 +112,11 @@
 func (l *Links) View(v *directory.View) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.ctx == nil || v.Plan == nil {
+	if l.ctx == nil {
+		l.early = v
+		return
+	}
+	if v.Plan == nil {
 		return
 	}
 	members := l.membersOf(v)
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -155,6 +155,11 @@
 	if version, known := f.version(r.Collection); known && r.Batch.Version <= version {
 		return
 	}
+	if r.Outage {
+		f.mu.Lock()
+		f.state.Failed(f.timer.Now())
+		f.mu.Unlock()
+	}
 	f.take(r.Collection, r.Batch)
 }
 
@@ -176,7 +181,7 @@
 	}
 	f.publish()
 	for _, push := range f.subscribers {
-		push(grant.Rows{Collection: c, Batch: b})
+		push(grant.Rows{Collection: c, Batch: b, Outage: f.state.Outage(f.timer.Now())})
 	}
 }
 
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -69,8 +69,11 @@
 // registry decodes routings that are JSON of the project's own type.
 type registry struct{}
 
-func (registry) Upstream(string, []byte) (snipeford.Upstream, bool) {
-	return snipeford.Upstream{}, false
+func (registry) Upstream(key string, value []byte) (snipeford.Upstream, bool) {
+	var u snipeford.Upstream
+	err := json.Unmarshal(value, &u)
+	u.ID = snipeford.UpstreamID(key)
+	return u, err == nil
 }
 
 func (registry) Routing(value []byte) (snipeford.Routing, error) {
@@ -215,3 +218,20 @@
 		}
 	})
 }
+
+// TestRowsThatLapseAtAFeeder answers an outage of the store that ends with all
+// upstreams' rows gone: nodes that are fed keep them for a while, too.
+func TestRowsThatLapseAtAFeeder(t *testing.T) {
+	row := []snipeford.Change{{Key: "u", Value: []byte(`{"Service":"s"}`)}}
+	f, _ := follow(t, answer{batch: snipeford.Batch{Whole: true, Version: 5, Changes: version(1)}})
+	f.take(snipeford.UpstreamRows, snipeford.Batch{Whole: true, Version: 6, Changes: row})
+	other := &follower{registry: registry{}, timer: f.timer, fresh: &freshness.Clock{}, log: f.log, changed: func(*directory.View) {}}
+	defer f.subscribe(other.bring)()
+	f.failed(snipeford.UpstreamRows, snipeford.ErrUnavailable, false)
+	f.take(snipeford.UpstreamRows, snipeford.Batch{Version: 7, Changes: []snipeford.Change{{Key: "u", Removed: true}}})
+	for name, one := range map[string]*follower{"feeder": f, "fed": other} {
+		if got := len(one.current().Usable["s"]); got != 1 {
+			t.Errorf("%s: got %d usable upstreams after the outage, want 1", name, got)
+		}
+	}
+}
