--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -98,22 +98,21 @@
 		return func() {}
 	}
 	links := &grant.Links{Self: self, Loop: loop, Timer: clock, Log: journal, Knowledge: func() (time.Duration, bool) { return n.knowledge(), true }}
+	links.Rows = func(grant.Rows) { n.rows.Add(1) }
+	links.Confirmed = func(snipeford.Instant) {
+		if n.rows.Load() < 3 {
+			t.Error("got a confirmation before the rows that it confirms, want it behind them")
+		}
+		n.confirmed.Add(1)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = loop.Run(ctx) }()
 	go func() { _ = links.Run(ctx) }()
 	go func() { _ = server.Serve(ctx, l) }()
 	go func() { _ = journal.Run(ctx, io.Discard) }()
-	time.Sleep(10 * time.Millisecond)
 	loop.Send(placer.Viewed{View: view(peers)})
 	links.View(view(peers))
-	links.Rows = func(grant.Rows) { n.rows.Add(1) }
-	links.Confirmed = func(snipeford.Instant) {
-		if n.rows.Load() < 3 {
-			t.Error("got a confirmation before the rows that it confirms, want it behind them")
-		}
-		n.confirmed.Add(1)
-	}
 	n.links, n.loop, n.stop = links, loop, cancel
 	return n
 }
