Keep the platform's words and clocks out of the soak

Cause: the style check named wire names in cmd/standin/soak and clocks in the stand-ins. Change: the stand-in makes the client's header and knows its seal; both take the timer service.

--- a/cmd/standin/soak/clients.go
+++ b/cmd/standin/soak/clients.go
@@ -68,11 +68,7 @@
 	}
 	req.ContentLength = int64(len(body))
 	req.Host = host
-	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Request-Deadline", fmt.Sprint(callTimeout.Milliseconds()))
-	req.Header.Set("X-Token-Usage", "1500,600")
-	req.Header.Set("X-Tenant", "forged")
-	req.Header.Set("Api-Key", map[bool]string{true: "bad", false: "good"}[badKey])
+	req.Header = standin.Head(id, map[bool]string{true: "bad", false: "good"}[badKey], callTimeout)
 	r.sent(id, path, badKey)
 	resp, err := web.Do(req)
 	if err != nil {
@@ -116,8 +112,8 @@
 		if got != whole(id, path) {
 			r.violate("%s: got %q as whole", id, got)
 		}
-		if resp.Header.Get("X-Response-Seal") != "s."+id {
-			r.violate("%s: seal %q", id, resp.Header.Get("X-Response-Seal"))
+		if !standin.Sealed(resp.Header, id) {
+			r.violate("%s: got no seal of its own", id)
 		}
 	case promises(resp.StatusCode):
 		r.count(&r.Refused)
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"snipeford/internal/control/timer"
 	"snipeford/internal/emulate/relay"
 	"snipeford/platform/standin"
 )
@@ -38,6 +39,7 @@
 // fleet is what a run consists of. It ends only processes that it started.
 type fleet struct {
 	plan     Plan
+	clock    *timer.Service
 	store    *standin.Store
 	ledger   *standin.Ledger
 	replicas []*standin.Replica
@@ -79,7 +81,8 @@
 const troubleShare = 0.04
 
 func start(p Plan) (*fleet, error) {
-	f := &fleet{plan: p, store: &standin.Store{}, ledger: &standin.Ledger{}, rows: map[string][]byte{}}
+	clock := &timer.Service{}
+	f := &fleet{plan: p, clock: clock, store: &standin.Store{Timer: clock}, ledger: &standin.Ledger{}, rows: map[string][]byte{}}
 	f.troubles = &troubles{rng: rand.New(rand.NewPCG(p.Seed, 2)), share: troubleShare}
 	configuration, err := standin.Configuration(1, host)
 	if err != nil {
@@ -115,7 +118,7 @@
 }
 
 func (f *fleet) startReplica(i int) error {
-	r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "model", Zone: zone(i), Ledger: f.ledger, Troubles: f.troubles.next}
+	r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "model", Zone: zone(i), Ledger: f.ledger, Timer: f.clock, Troubles: f.troubles.next}
 	if i >= f.plan.Models {
 		r.Service = "plain"
 	}
