Let a placement that costs others more than it gains wait

Cause: a long prompt that could not be timely was placed as soon as enough engines were free, whatever it did to the streams there. Callers leave such streams: most of the requests that end at their deadline. Change: a placement waits while what it costs the others is more than what its caller gains, a quarter of its worth where it will be late. Modelled callers leave as the users' do, and a share of the requests may be placed by a node apart.

--- a/internal/emulate/pass/engine.go
+++ b/internal/emulate/pass/engine.go
@@ -30,6 +30,8 @@
 type Event struct {
 	Job  *Job
 	Done bool
+	// Load is the engine's own word on its load.
+	Load snipeford.EngineLoad
 }
 
 // Engine is one engine. Its clock runs only while it has work.
@@ -166,9 +168,10 @@
 
 func (e *Engine) events(wrote map[*Job]bool) []Event {
 	var out []Event
+	load := snipeford.EngineLoad{Known: true, Running: len(e.running), Waiting: len(e.waiting)}
 	for _, j := range e.running {
 		if wrote[j] {
-			out = append(out, Event{j, j.written >= j.Output})
+			out = append(out, Event{j, j.written >= j.Output, load})
 		}
 	}
 	e.running = slices.DeleteFunc(e.running, func(j *Job) bool {
@@ -181,6 +184,18 @@
 	return out
 }
 
+// Cancel drops a job whose caller has left, at its first engine and its helpers.
+func (j *Job) Cancel() {
+	e := j.first
+	same := func(o *Job) bool { return o == j }
+	for _, h := range j.helpers {
+		h.parts = slices.DeleteFunc(h.parts, same)
+	}
+	e.free(j)
+	e.waiting = slices.DeleteFunc(e.waiting, same)
+	e.running = slices.DeleteFunc(e.running, same)
+}
+
 // free gives a job's memory back.
 func (e *Engine) free(j *Job) {
 	e.memory -= j.held
--- a/internal/experiment/placing/placing_test.go
+++ b/internal/experiment/placing/placing_test.go
@@ -9,7 +9,7 @@
 )
 
 // seeds is how many loads of one kind are played.
-const seeds = 4
+const seeds = 20
 
 // target is the mean share of credit that the users' days are to reach.
 const target = 0.80
@@ -31,7 +31,7 @@
 	all := make([][]placing.Result, seeds)
 	var group sync.WaitGroup
 	for seed := range seeds {
-		group.Go(func() { all[seed] = placing.Run(load, policy(load), uint64(seed)) })
+		group.Go(func() { all[seed] = placing.Run(load, uint64(seed), policy(load), policy(load)) })
 	}
 	group.Wait()
 	sum := 0.0
@@ -80,6 +80,16 @@
 	}
 }
 
+// TestNodeCutOff answers a node of six that can't reach the home: it places its
+// callers' requests by itself.
+func TestNodeCutOff(t *testing.T) {
+	load := placing.Alternating(0.8)
+	load.Apart = 0.17
+	got := mean(t, load, prediction)
+	assertAtLeast(t, got, target)
+	assertAtLeast(t, got, mean(t, load, baseline))
+}
+
 // TestOverload answers a burst of short prompts on the engines that a lost
 // failure domain leaves: whoever can still be timely is served before those
 // that are late anyhow.
--- a/internal/experiment/placing/run.go
+++ b/internal/experiment/placing/run.go
@@ -53,6 +53,9 @@
 	Length  time.Duration
 	Engines int
 	Profile snipeford.EngineProfile
+	// Apart is the share of the requests that a second placer places, which
+	// learns of the others from the engines alone.
+	Apart float64
 }
 
 // Result is what callers of one class saw.
@@ -82,6 +85,10 @@
 	last    snipeford.Instant
 	longest time.Duration
 	done    bool
+	// placer is who places the request.
+	placer Placer
+	// gone callers have left without a whole answer.
+	gone bool
 	// returned requests have been refused once; callers come back no more.
 	returned bool
 }
@@ -113,7 +120,7 @@
 
 type run struct {
 	load     Load
-	placer   Placer
+	placers  []Placer
 	agenda   agenda
 	now      snipeford.Instant
 	engines  map[snipeford.UpstreamID]*pass.Engine
@@ -130,9 +137,10 @@
 	return out
 }
 
-// Run plays the load of a seed.
-func Run(load Load, placer Placer, seed uint64) []Result {
-	r := &run{load: load, placer: placer, engines: map[snipeford.UpstreamID]*pass.Engine{}, working: map[*pass.Engine]bool{}, requests: map[snipeford.RequestID]*request{}}
+// Run plays the load of a seed. A second placer places the requests of
+// Load.Apart.
+func Run(load Load, seed uint64, placers ...Placer) []Result {
+	r := &run{load: load, placers: placers, engines: map[snipeford.UpstreamID]*pass.Engine{}, working: map[*pass.Engine]bool{}, requests: map[snipeford.RequestID]*request{}}
 	for _, c := range Candidates(load.Engines) {
 		r.engines[c.ID] = &pass.Engine{Profile: load.Profile}
 	}
@@ -158,6 +166,10 @@
 			}
 			id := snipeford.RequestID(class.Name + "-" + strconv.Itoa(n))
 			req := &request{class: i, at: snipeford.Instant(at * 1e9), prompt: draw(rng, class.Prompt, class.Spread, class.Longest), output: 51 * draw(rng, class.Events, 0.6, 2.5*class.Events)}
+			req.placer = r.placers[0]
+			if r.load.Apart > 0 && rng.Float64() < r.load.Apart {
+				req.placer = r.placers[1]
+			}
 			r.requests[id] = req
 			r.schedule(req.at.Add(hop), func() { r.arrive(id, req) })
 		}
@@ -185,7 +197,7 @@
 	if waited > class.Patience {
 		return
 	}
-	r.place(r.placer.Ask(r.now, snipeford.PlaceAsk{
+	r.place(req.placer.Ask(r.now, snipeford.PlaceAsk{
 		Call: id, Prompt: req.prompt, Output: req.output, Target: max(0, class.Target-waited), MaxPause: class.MaxPause, Patience: class.Patience - waited,
 		Silence: class.abandoned(), FirstWithin: class.abandoned(),
 	}))
@@ -212,6 +224,8 @@
 	for _, h := range p.Helpers {
 		helpers = append(helpers, r.engines[h])
 	}
+	r.schedule(req.at.Add(r.load.Classes[req.class].abandoned()), func() { r.leave(id, req, req.first == 0) })
+	r.schedule(req.at.Add(r.load.Classes[req.class].Patience), func() { r.leave(id, req, true) })
 	first := r.engines[p.Upstream]
 	first.Submit(req.job, helpers, p.Reserve)
 	for _, e := range append(helpers, first) {
@@ -219,6 +233,16 @@
 	}
 }
 
+// leave lets a caller go who has no whole answer and waits no longer.
+func (r *run) leave(id snipeford.RequestID, req *request, waited bool) {
+	if !waited || req.done || req.gone {
+		return
+	}
+	req.gone = true
+	req.job.Cancel()
+	req.placer.End(r.now, id, false, "")
+}
+
 // work lets an idle engine start.
 func (r *run) work(e *pass.Engine) {
 	if r.working[e] || e.Idle() {
@@ -237,24 +261,29 @@
 
 func (r *run) event(e pass.Event) {
 	req := r.requests[e.Job.ID]
+	if req.gone {
+		return
+	}
 	seen := r.now.Add(hop)
 	if req.first == 0 {
 		req.first = seen
-		r.placer.First(seen, e.Job.ID, snipeford.EngineLoad{})
+		req.placer.First(seen, e.Job.ID, e.Load)
 	} else {
 		req.longest = max(req.longest, seen.Sub(req.last))
 	}
 	req.last = seen
 	if e.Done {
 		req.done = true
-		r.placer.End(seen, e.Job.ID, false, "")
+		req.placer.End(seen, e.Job.ID, false, "")
 	}
-	r.place(r.placer.Next(seen))
+	r.place(req.placer.Next(seen))
 }
 
 // tick lets the placer look at what waits.
 func (r *run) tick() {
-	r.place(r.placer.Next(r.now))
+	for _, p := range r.placers {
+		r.place(p.Next(r.now))
+	}
 	r.schedule(r.now.Add(tickEvery), r.tick)
 }
 
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -24,6 +24,9 @@
 	safety = 0.85
 	// hastening is what a first event at its target costs beside one at once.
 	hastening = 0.08
+	// lateWorth is what a late answer is worth beside a timely one: about a
+	// quarter on both users' sheets.
+	lateWorth = 0.25
 	// lostShare is what is lost with a caller that leaves a stream.
 	lostShare = 0.5
 	// otherDomain is what an engine in another failure domain costs.
@@ -41,6 +44,9 @@
 	memoryUse = 0.96
 	// coldLoss is what a cold engine costs.
 	coldLoss = 0.3
+	// overdueFactor is how much longer an engine is expected to be busy with
+	// what is not in the books, as a multiple of the time that it already was.
+	overdueFactor = 2
 	// callerHop is the time from the engine's event to the caller and from the
 	// caller to the engine, in milliseconds.
 	callerHop = 8
@@ -166,7 +172,7 @@
 		return s.weighSpread(ask, chosen, w)
 	}
 	chosen[0], chosen[lead] = chosen[lead], chosen[0]
-	return placed(ask, chosen, 0), s.loss(ask, chosen, w), finish(chosen), true
+	return placed(ask, chosen, 0), s.loss(ask, chosen), finish(chosen), true
 }
 
 // option predicts what a part of the prompt does at one engine.
@@ -180,6 +186,7 @@
 	if n > 0 || backlog > 0 {
 		residual = base / 2
 	}
+	residual += overdueFactor * r.overdue(now)
 	o := option{r: r, base: base, finish: callerHop + residual + parts + part, first: callerHop + residual + backlog + part + base}
 	if waiting := len(r.jobs) + strangers - s.model.Slots; waiting >= 0 && s.model.Slots > 0 {
 		o.first += float64(waiting+1) * base * slotTurn
@@ -255,7 +262,7 @@
 			return snipeford.Placement{}, 0, 0, false
 		}
 	}
-	return placed(ask, chosen, share), s.loss(ask, chosen, w), finish(chosen), true
+	return placed(ask, chosen, share), s.loss(ask, chosen), finish(chosen), true
 }
 
 func placed(ask snipeford.PlaceAsk, chosen []option, reserve snipeford.Tokens) snipeford.Placement {
@@ -276,12 +283,16 @@
 }
 
 // loss adds up what a placement costs its own caller and the others.
-func (s *State) loss(ask snipeford.PlaceAsk, chosen []option, w float64) float64 {
+func (s *State) loss(ask snipeford.PlaceAsk, chosen []option) float64 {
 	sum := 0.0
 	for _, o := range chosen {
 		sum += o.harm
 	}
-	first := finish(chosen)
+	return sum + s.own(ask, finish(chosen))
+}
+
+// own returns what a request loses whose first event comes at an instant.
+func (s *State) own(ask snipeford.PlaceAsk, first float64) float64 {
 	target := ms(ask.Target)
-	return sum + w*lateness(first, target) + w*hastening*first/math.Max(target, 1)
+	return weight(ask.Prompt) * (lateness(first, target) + hastening*first/math.Max(target, 1))
 }
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -179,12 +179,23 @@
 	if lateness(due, ms(ask.Target)) > timely && !s.worthNow(now, usable, engines, short) {
 		return snipeford.Placement{}, false
 	}
+	if harm, gain := s.balance(ask, loss, due); harm > gain {
+		return snipeford.Placement{}, false
+	}
 	p.Due = duration(due)
 	j := s.commit(now, ask, p)
 	j.due = now.Add(p.Due)
 	return p, true
 }
 
+// balance returns what a placement costs the others, and what its own caller
+// gains by it.
+func (s *State) balance(ask snipeford.PlaceAsk, loss, due float64) (harm, gain float64) {
+	w := weight(ask.Prompt)
+	late := lateness(due, ms(ask.Target))
+	return loss - s.own(ask, due), w * (lateWorth + (1-lateWorth)*(1-late))
+}
+
 // free reports whether an engine takes more of such requests now. What waits
 // here can still be reordered; what waits in an engine can't.
 func (s *State) free(now snipeford.Instant, r *replica, short bool) bool {
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -161,6 +161,10 @@
 	return j.ask.Prompt + j.ask.Output
 }
 
+// overdueGrace is by how many milliseconds a first event may miss its
+// prediction before its engine counts as overdue: nine in ten miss it by less.
+const overdueGrace = 200
+
 // foreignFresh is how long an engine's own word on its load counts.
 const foreignFresh = time.Second
 
@@ -171,6 +175,18 @@
 	}
 }
 
+// overdue returns by how many milliseconds the most overdue first event misses
+// its prediction: the engine has work that is not in the books.
+func (r *replica) overdue(now snipeford.Instant) float64 {
+	most := 0.0
+	for _, j := range r.jobs {
+		if j.stage == reading && j.due > 0 {
+			most = max(most, ms(now.Sub(j.due))-overdueGrace)
+		}
+	}
+	return most
+}
+
 // strangers returns how many requests run here that are not in the books.
 func (r *replica) strangers(now snipeford.Instant) int {
 	if now.Sub(r.foreignAt) > foreignFresh {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -100,7 +100,7 @@
 		return p, overloaded(max(p.RetryAfter, soon))
 	}
 	if s.tries > 0 || len(p.Helpers) > 0 {
-		s.Log.Decided("placed", s.head.Request, "By", by, "Upstream", p.Upstream, "Helpers", len(p.Helpers), "PromptTokens", s.head.Prompt, "Try", s.tries+1)
+		s.Log.Decided("placed", s.head.Request, "By", by, "Upstream", p.Upstream, "Helpers", p.Helpers, "PromptTokens", s.head.Prompt, "Try", s.tries+1)
 	}
 	return p, nil
 }
