--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -293,3 +293,43 @@
 		})
 	}
 }
+
+// busy fills the engines with streams of short prompts that are being written.
+func busy(s *placement.State, streams int) {
+	for i := range streams {
+		call := "busy" + strconv.Itoa(i)
+		s.Ask(0, short(call))
+		s.First(at(100*time.Millisecond), snipeford.RequestID(call), snipeford.EngineLoad{})
+	}
+}
+
+// TestGiantWaitsForABurst answers a prompt of half a million tokens in a burst
+// of short ones: its reading would break all streams beside it.
+func TestGiantWaitsForABurst(t *testing.T) {
+	s := newState(18)
+	busy(s, 110)
+	if got := s.Ask(at(200*time.Millisecond), long("giant", 528_000)); len(got) > 0 {
+		t.Errorf("got %+v, want it to wait", got)
+	}
+	t.Run("and is placed when the burst is over", func(t *testing.T) {
+		for i := range 110 {
+			s.End(at(3*time.Second), snipeford.RequestID("busy"+strconv.Itoa(i)), false, "")
+		}
+		find(t, s.Next(at(3*time.Second)), "giant")
+	})
+}
+
+// TestOverdueEngine answers work that is not in the books, such as what a node
+// that is cut off places: the engine's first events do not come when predicted.
+func TestOverdueEngine(t *testing.T) {
+	s := newState(2)
+	stuck := find(t, s.Ask(0, short("a")), "a")
+	for i := range 6 {
+		call := "b" + strconv.Itoa(i)
+		p := find(t, s.Ask(at(time.Second), short(call)), snipeford.RequestID(call))
+		if p.Upstream == stuck.Upstream {
+			t.Errorf("got %s, want the other engine: a first event there is overdue", p.Upstream)
+		}
+		s.First(at(time.Second+100*time.Millisecond), snipeford.RequestID(call), snipeford.EngineLoad{})
+	}
+}
