Refuse at once what no engines can read in its caller's time

Cause: a giant that comes back with two seconds left waited at the home until 0.3 s before its caller left, or was placed in vain. Change: a request whose prompt all engines together could not read in the time that is left is refused when it is asked for. The test fails without it.

--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -121,7 +121,19 @@
 // time, or its caller is about to leave.
 func (s *State) hopeless(ask snipeford.PlaceAsk) bool {
 	left := min(ask.Patience, ask.FirstWithin)
-	return left < leastLeft || len(s.order) == 0 || s.model.ReadRate <= 0
+	if left < leastLeft || len(s.order) == 0 || s.model.ReadRate <= 0 {
+		return true
+	}
+	return s.model.reading(ask.Prompt)/float64(s.mostEngines(ask)) > ms(left)
+}
+
+// mostEngines returns how many engines can read a prompt together at most.
+func (s *State) mostEngines(ask snipeford.PlaceAsk) int {
+	most := min(int(ask.Prompt/leastPart), 1+helperCounts[len(helperCounts)-1], len(s.order))
+	if !s.model.Joint || ask.Alone && s.fits(ask) {
+		most = 1
+	}
+	return max(most, 1)
 }
 
 // returnAfter returns when a refused caller may come back: when the engines
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -333,3 +333,14 @@
 		s.First(at(time.Second+100*time.Millisecond), snipeford.RequestID(call), snipeford.EngineLoad{})
 	}
 }
+
+// TestPromptThatNoEngineCanReadInTime answers a caller that comes back with
+// little time left: to hold it until it leaves would help nobody.
+func TestPromptThatNoEngineCanReadInTime(t *testing.T) {
+	ask := long("a", 520_000)
+	ask.Patience, ask.FirstWithin = 1500*time.Millisecond, 1500*time.Millisecond
+	p := find(t, newState(18).Ask(0, ask), "a")
+	if !p.Refused {
+		t.Errorf("got %+v, want a refusal at once: all engines need 1.7 s", p)
+	}
+}
