Place nothing where its caller leaves before the first event

Change: such a request waits at the home, where an engine may come free; giants get enough engines for a first event before their callers leave, not only before their deadline.

--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -116,7 +116,7 @@
 	if whole <= giantReading || ask.Alone && s.fits(ask) {
 		return true
 	}
-	limit := giantPatience * ms(ask.Patience)
+	limit := giantPatience * ms(min(ask.Patience, ask.FirstWithin))
 	for _, fewest := range helperCounts {
 		if whole/float64(fewest+1) <= limit {
 			return helpers == fewest
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -27,6 +27,9 @@
 	spareSlots = 2
 	// timely is the lateness below which a placement is taken at once.
 	timely = 0.4
+	// mostRisk is the chance that its caller leaves before the first event from
+	// which a request rather waits: an engine may come free.
+	mostRisk = 0.5
 	// quietTime is how long nothing is tried after a turn that placed nothing.
 	quietTime = 8 * time.Millisecond
 	// looked is how many waiting requests are tried in one turn.
@@ -191,6 +194,9 @@
 	if lateness(due, ms(ask.Target)) > timely && !s.worthNow(now, usable, engines, short) {
 		return snipeford.Placement{}, false
 	}
+	if lateness(due, ms(min(ask.FirstWithin, ask.Patience))) > mostRisk {
+		return snipeford.Placement{}, false
+	}
 	if harm, gain := s.balance(ask, loss, due); harm > gain {
 		return snipeford.Placement{}, false
 	}
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -344,3 +344,17 @@
 		t.Errorf("got %+v, want a refusal at once: all engines need 1.7 s", p)
 	}
 }
+
+// TestNoPlaceBehindTheCallersPatience answers engines that all read long
+// prompts: a caller that leaves before they are done gains nothing there.
+func TestNoPlaceBehindTheCallersPatience(t *testing.T) {
+	s := newState(2)
+	for i := range 2 {
+		ask := long("long"+strconv.Itoa(i), 290_000)
+		ask.Alone = true
+		find(t, s.Ask(0, ask), ask.Call)
+	}
+	if got := s.Ask(at(time.Millisecond), short("a")); len(got) > 0 {
+		t.Errorf("got %+v, want it to wait: both engines read for 9 s", got)
+	}
+}
