Make the test of places behind the callers' patience fail first

The first form passed on the code before the change: both engines read, so that no short prompt was placed anyhow. Now one engine reads and the other has ten streams and three new prompts; the code before sends the next one behind the reading of 9 s.

--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -345,16 +345,23 @@
 	}
 }
 
-// TestNoPlaceBehindTheCallersPatience answers engines that all read long
-// prompts: a caller that leaves before they are done gains nothing there.
+// TestNoPlaceBehindTheCallersPatience answers an engine that reads a long
+// prompt beside one whose streams bear little more: a caller that leaves before
+// the reading is done gains nothing there.
 func TestNoPlaceBehindTheCallersPatience(t *testing.T) {
 	s := newState(2)
-	for i := range 2 {
-		ask := long("long"+strconv.Itoa(i), 290_000)
-		ask.Alone = true
-		find(t, s.Ask(0, ask), ask.Call)
+	ask := long("long", 290_000)
+	ask.Alone = true
+	reading := find(t, s.Ask(0, ask), "long").Upstream
+	busy(s, 10)
+	for i := range 3 {
+		s.Ask(at(200*time.Millisecond), short("s"+strconv.Itoa(i)))
 	}
-	if got := s.Ask(at(time.Millisecond), short("a")); len(got) > 0 {
-		t.Errorf("got %+v, want it to wait: both engines read for 9 s", got)
+	last := short("last")
+	last.Prompt = 8_000
+	for _, p := range s.Ask(at(200*time.Millisecond), last) {
+		if p.Upstream == reading {
+			t.Errorf("got %s at %s, want it to wait: the engine reads for 9 s", p.Call, p.Upstream)
+		}
 	}
 }
