--- a/internal/policy/placement/split.go
+++ b/internal/policy/placement/split.go
@@ -16,8 +16,10 @@
 	tightPerEngine = 12
 	// spareEngines is how many engines more are left to them, for arrivals.
 	spareEngines = 1
-	// leastForLong is how many engines long prompts keep.
-	leastForLong = 0
+	// longShare is one over the share of the engines that long prompts keep:
+	// what is read there breaks no streams, and bursts of short prompts outlast
+	// the patience of long ones.
+	longShare = 9
 	// packing is what a request with short pauses pays outside of its engines
 	// where long prompts press, and intrusion what a long prompt pays there.
 	packing   = 0.6
@@ -43,7 +45,7 @@
 		}
 	}
 	need := int(math.Ceil(float64(streams)/tightPerEngine)) + spareEngines
-	s.kept = max(min(need, len(s.order)-leastForLong), min(1, len(s.order)))
+	s.kept = max(min(need, len(s.order)-len(s.order)/longShare), min(1, len(s.order)))
 }
 
 // pressure tells from 0 to 1 how much long prompts press.
