Weigh lost streams and late answers by what they take from others

Change: a lost stream costs as much again as one that is late; a late answer gains 0.15 of a timely one instead of 0.25.

--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -24,11 +24,12 @@
 	safety = 0.85
 	// hastening is what a first event at its target costs beside one at once.
 	hastening = 0.08
-	// lateWorth is what a late answer is worth beside a timely one: about a
-	// quarter on both users' sheets.
-	lateWorth = 0.25
-	// lostShare is what is lost with a caller that leaves a stream.
-	lostShare = 0.5
+	// lateWorth is what a late answer gains beside a timely one: a quarter on
+	// both users' sheets, less what its reading takes from requests to come.
+	lateWorth = 0.15
+	// lostShare is what is lost, beside its being in time, with a caller that
+	// leaves a stream and has to come back.
+	lostShare = 1
 	// otherDomain is what an engine in another failure domain costs.
 	otherDomain = 0.004
 	// giantReading is the reading, in milliseconds, from which a prompt gets as
