Compare placement policies on the model of the users' engines in bench

standin bench prints the share of credit of six policies (least outstanding, least work, joint reading, fixed split, moving split, prediction) on five loads of both sites; the short form plays the baseline and what nodes run.

--- a/cmd/standin/verb/bench.go
+++ b/cmd/standin/verb/bench.go
@@ -12,6 +12,7 @@
 	"github.com/google/subcommands"
 
 	"snipeford/internal/experiment/bench"
+	"snipeford/internal/experiment/placing"
 )
 
 type benchVerb struct {
@@ -51,6 +52,9 @@
 			bench.Prefixes(r, d, v.length, v.seed)
 		}
 	}
+	for _, site := range placing.Sites {
+		bench.Placements(r, site, v.short)
+	}
 	if v.bounds == "" {
 		return subcommands.ExitSuccess
 	}
--- a/internal/experiment/placing/load.go
+++ b/internal/experiment/placing/load.go
@@ -29,25 +29,58 @@
 	shortBurst = []float64{2.45, 0.5, 0.05}
 )
 
-// Alternating changes between bursts of long and of short prompts every ten
-// seconds, as Quindio's days do.
-func Alternating(scale float64) Load {
-	l := Load{Classes: classes(scale), Length: 60 * time.Second, Engines: 18, Profile: Profile}
-	for i := range 6 {
-		from := time.Duration(i) * 10 * time.Second
+// Site is one of the users' deployments.
+type Site struct {
+	Name    string
+	Engines int
+	// Scale is its rate beside Quindio's.
+	Scale float64
+}
+
+// Sites are those of today.
+var Sites = []Site{{"Quindio", 18, 1}, {"Uwimana", 23, 1.28}}
+
+// Named is a load with its name in tables.
+type Named struct {
+	Name string
+	Load Load
+}
+
+// Loads returns the loads of a site that policies are compared by.
+func (s Site) Loads() []Named {
+	lost := s.Engines * 3 / 5
+	return []Named{
+		{"Calm", s.alternating(0.8, 10*time.Second)},
+		{"Heavy", s.alternating(1, 10*time.Second)},
+		{"EveryThreeSeconds", s.alternating(1, 3*time.Second)},
+		{"OnlyLong", s.only(s.Engines, longBurst)},
+		{"Overload", s.only(lost, shortBurst)},
+	}
+}
+
+func (s Site) alternating(scale float64, every time.Duration) Load {
+	l := Load{Classes: classes(scale * s.Scale), Length: 60 * time.Second, Engines: s.Engines, Profile: Profile}
+	for i := 0; time.Duration(i)*every < l.Length; i++ {
+		from := time.Duration(i) * every
 		factors := longBurst
 		if i%2 == 1 {
 			factors = shortBurst
 		}
-		l.Bursts = append(l.Bursts, Burst{from, from + 10*time.Second, factors})
+		l.Bursts = append(l.Bursts, Burst{from, from + every, factors})
 	}
 	return l
 }
 
-// Overloaded is a burst of short prompts on fewer engines than it needs, as
-// after the loss of a failure domain.
-func Overloaded(engines int) Load {
-	l := Load{Classes: classes(1), Length: 20 * time.Second, Engines: engines, Profile: Profile}
-	l.Bursts = []Burst{{0, l.Length, shortBurst}}
+func (s Site) only(engines int, factors []float64) Load {
+	l := Load{Classes: classes(s.Scale), Length: 20 * time.Second, Engines: engines, Profile: Profile}
+	l.Bursts = []Burst{{0, l.Length, factors}}
 	return l
 }
+
+// Alternating changes between bursts of long and of short prompts every ten
+// seconds, as Quindio's days do.
+func Alternating(scale float64) Load { return Sites[0].alternating(scale, 10*time.Second) }
+
+// Overloaded is a burst of short prompts on fewer engines than it needs, as
+// after the loss of a failure domain.
+func Overloaded(engines int) Load { return Sites[0].only(engines, shortBurst) }
--- a/internal/experiment/placing/placing_test.go
+++ b/internal/experiment/placing/placing_test.go
@@ -5,7 +5,6 @@
 	"testing"
 
 	"snipeford/internal/experiment/placing"
-	"snipeford/internal/policy/placement"
 )
 
 // seeds is how many loads of one kind are played.
@@ -14,24 +13,23 @@
 // target is the mean share of credit that the users' days are to reach.
 const target = 0.80
 
-func prediction(load placing.Load) placing.Placer {
-	s := placement.New()
-	s.Configure(load.Profile, 0)
-	s.SetCandidates(placing.Candidates(load.Engines))
-	return s
-}
-
-func baseline(load placing.Load) placing.Placer {
-	return &placing.LeastOutstanding{Engines: placing.Candidates(load.Engines)}
+// policy returns a constructor of the table.
+func policy(t *testing.T, name string) func(placing.Load) placing.Placer {
+	t.Helper()
+	p, err := placing.Table.New(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
 }
 
 // mean plays the load with several seeds and returns the mean share of credit.
-func mean(t *testing.T, load placing.Load, policy func(placing.Load) placing.Placer) float64 {
+func mean(t *testing.T, load placing.Load, under func(placing.Load) placing.Placer) float64 {
 	t.Helper()
 	all := make([][]placing.Result, seeds)
 	var group sync.WaitGroup
 	for seed := range seeds {
-		group.Go(func() { all[seed] = placing.Run(load, uint64(seed), policy(load), policy(load)) })
+		group.Go(func() { all[seed] = placing.Run(load, uint64(seed), under(load), under(load)) })
 	}
 	group.Wait()
 	sum := 0.0
@@ -73,9 +71,9 @@
 	for name, scale := range map[string]float64{"calm": 0.8, "heavy": 1} {
 		t.Run(name, func(t *testing.T) {
 			load := placing.Alternating(scale)
-			got := mean(t, load, prediction)
+			got := mean(t, load, policy(t, "Prediction"))
 			assertAtLeast(t, got, target)
-			assertAtLeast(t, got, mean(t, load, baseline))
+			assertAtLeast(t, got, mean(t, load, policy(t, "LeastOutstanding")))
 		})
 	}
 }
@@ -85,9 +83,9 @@
 func TestNodeCutOff(t *testing.T) {
 	load := placing.Alternating(0.8)
 	load.Apart = 0.17
-	got := mean(t, load, prediction)
+	got := mean(t, load, policy(t, "Prediction"))
 	assertAtLeast(t, got, target)
-	assertAtLeast(t, got, mean(t, load, baseline))
+	assertAtLeast(t, got, mean(t, load, policy(t, "LeastOutstanding")))
 }
 
 // TestOverload answers a burst of short prompts on the engines that a lost
@@ -95,5 +93,5 @@
 // that are late anyhow.
 func TestOverload(t *testing.T) {
 	load := placing.Overloaded(11)
-	assertAtLeast(t, mean(t, load, prediction), mean(t, load, baseline))
+	assertAtLeast(t, mean(t, load, policy(t, "Prediction")), mean(t, load, policy(t, "LeastOutstanding")))
 }
--- /dev/null
+++ b/internal/experiment/placing/table.go
@@ -0,0 +1,37 @@
+package placing
+
+import (
+	"snipeford/internal/policy/family"
+	"snipeford/internal/policy/placement"
+)
+
+// Policy is one row of the placement table.
+type Policy = family.Member[func(Load) Placer]
+
+// Table lists the compared policies; the first is the baseline, the last is
+// what nodes run.
+var Table = family.Table[func(Load) Placer]{
+	leastOutstandingPolicy, leastWorkPolicy, jointPolicy, fixedSplitPolicy, movingSplitPolicy, predictionPolicy,
+}
+
+// Mean plays a load with seeds from one on and returns the mean share of credit.
+func Mean(load Load, policy func(Load) Placer, seeds int) float64 {
+	sum := 0.0
+	for seed := range seeds {
+		sum += Share(Run(load, uint64(seed), policy(load), policy(load)))
+	}
+	return sum / float64(seeds)
+}
+
+var predictionPolicy = Policy{
+	Name:  "Prediction",
+	Usage: "first events and pauses are predicted for all engines, and the placement of least loss over all callers is taken",
+	New: func() func(Load) Placer {
+		return func(load Load) Placer {
+			s := placement.New()
+			s.Configure(load.Profile, 0)
+			s.SetCandidates(Candidates(load.Engines))
+			return s
+		}
+	},
+}
