--- a/internal/experiment/placing/table.go
+++ b/internal/experiment/placing/table.go
@@ -1,6 +1,10 @@
 package placing
 
 import (
+	"sync"
+
+	"gonum.org/v1/gonum/floats"
+
 	"snipeford/internal/policy/family"
 	"snipeford/internal/policy/placement"
 )
@@ -14,13 +18,15 @@
 	leastOutstandingPolicy, leastWorkPolicy, jointPolicy, fixedSplitPolicy, movingSplitPolicy, predictionPolicy,
 }
 
-// Mean plays a load with seeds from one on and returns the mean share of credit.
+// Mean plays a load with the first seeds and returns the mean share of credit.
 func Mean(load Load, policy func(Load) Placer, seeds int) float64 {
-	sum := 0.0
+	shares := make([]float64, seeds)
+	var group sync.WaitGroup
 	for seed := range seeds {
-		sum += Share(Run(load, uint64(seed), policy(load), policy(load)))
+		group.Go(func() { shares[seed] = Share(Run(load, uint64(seed), policy(load), policy(load))) })
 	}
-	return sum / float64(seeds)
+	group.Wait()
+	return floats.Sum(shares) / float64(seeds)
 }
 
 var predictionPolicy = Policy{
--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"strconv"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -47,13 +48,13 @@
 }
 
 // start runs nodes. The silent one accepts connections and says nothing.
-func start(t *testing.T, names []snipeford.NodeID, silent snipeford.NodeID) map[snipeford.NodeID]*node {
+func start(t testing.TB, names []snipeford.NodeID, silent snipeford.NodeID) map[snipeford.NodeID]*node {
 	t.Helper()
 	return startPinging(t, names, silent, 0)
 }
 
 // startPinging runs nodes with a time between pings; zero is the usual one.
-func startPinging(t *testing.T, names []snipeford.NodeID, silent snipeford.NodeID, pings time.Duration) map[snipeford.NodeID]*node {
+func startPinging(t testing.TB, names []snipeford.NodeID, silent snipeford.NodeID, pings time.Duration) map[snipeford.NodeID]*node {
 	t.Helper()
 	peers := map[snipeford.NodeID]directory.Peer{}
 	listeners := map[snipeford.NodeID]net.Listener{}
@@ -89,7 +90,7 @@
 	}
 }
 
-func startNode(t *testing.T, self directory.Peer, peers map[snipeford.NodeID]directory.Peer, l net.Listener, pings time.Duration) *node {
+func startNode(t testing.TB, self directory.Peer, peers map[snipeford.NodeID]directory.Peer, l net.Listener, pings time.Duration) *node {
 	t.Helper()
 	clock := &timer.Service{}
 	n := &node{}
@@ -262,3 +263,20 @@
 		}
 	})
 }
+
+// BenchmarkPlace measures what asking the home adds to a decision, over
+// loopback.
+func BenchmarkPlace(b *testing.B) {
+	nodes := startPinging(b, names, "", 0)
+	for role, name := range map[string]snipeford.NodeID{"at the home": order()[0], "at another node": order()[2]} {
+		b.Run(role, func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				call := snipeford.RequestID("bench-" + string(name) + "-" + strconv.Itoa(i))
+				if p, by := nodes[name].links.Place(context.Background(), ask(string(call))); p.Refused || by != order()[0] {
+					b.Fatalf("got %+v by %s, want a place by the home", p, by)
+				}
+				nodes[name].links.Ended("s", call, false, "")
+			}
+		})
+	}
+}
