Ask the store seldom while a feeder answers whose rows are old

Change: after a failed call a node whose feeder answers waits two seconds; when the feeder has the store again it brings the rows within 0.1 s anyhow. A feeder, and a node without a living feeder, ask as often as before. The test fails without the change.

--- a/internal/fleet/grant/feed.go
+++ b/internal/fleet/grant/feed.go
@@ -159,6 +159,21 @@
 	return ok && age < feedAge
 }
 
+// FeederAnswers reports whether another node that should bring the store's rows
+// answers, however old its rows are.
+func (l *Links) FeederAnswers() bool {
+	now := l.Timer.Now()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if slices.Contains(l.feedOrder, l.Self.Node) {
+		return false
+	}
+	return slices.ContainsFunc(l.feedOrder, func(id snipeford.NodeID) bool {
+		one := l.links[id]
+		return one != nil && one.healthy(now)
+	})
+}
+
 // collections is how many collections a feeder brings.
 const collections = 3
 
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -106,6 +106,7 @@
 	n.loop.Deliver = n.peers.Deliver
 	n.follower = &follower{feed: parts.Feed, registry: parts.Registry, timer: t, fresh: &n.fresh, log: n.log, changed: n.viewed}
 	n.follower.fed = n.links.Fed
+	n.follower.standby = n.links.FeederAnswers
 	n.links.Rows, n.links.Confirmed = n.follower.bring, n.fresh.Raise
 	n.peers.Subscribe = n.follower.subscribe
 	n.relay = &relay.Server{
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -29,6 +29,10 @@
 	// firstPause and longestPause bound the pause after a failed call.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 800 * time.Millisecond
+	// standbyPause is the least pause after a failed call while a feeder answers
+	// whose rows are old: the store fails it too, and all nodes together would
+	// ask in vain. It is below the age at which keys are not honoured any more.
+	standbyPause = 2 * time.Second
 	// fedPause is how often a node that is fed looks whether it still is.
 	fedPause = 100 * time.Millisecond
 	// expireEvery is how often rows that stayed missing are dropped.
@@ -45,6 +49,9 @@
 	changed  func(*directory.View)
 	// fed reports whether another node brings the rows; nil means never.
 	fed func() bool
+	// standby reports whether a feeder answers, however old its rows are; nil
+	// means never.
+	standby func() bool
 
 	mu    sync.Mutex
 	state directory.State
@@ -93,7 +100,7 @@
 			}
 			f.failed(c, err, lost)
 			lost = true
-			f.timer.Sleep(ctx, pause)
+			f.timer.Sleep(ctx, f.pauseFor(pause))
 			pause = min(2*pause, longestPause)
 			continue
 		}
@@ -106,6 +113,14 @@
 	return nil
 }
 
+// pauseFor returns how long to wait after a failed call.
+func (f *follower) pauseFor(pause time.Duration) time.Duration {
+	if f.standby != nil && f.standby() {
+		return max(pause, standbyPause)
+	}
+	return pause
+}
+
 func (f *follower) read(ctx context.Context, c snipeford.Collection, whole bool, version uint64, wait time.Duration) (snipeford.Batch, error) {
 	if whole {
 		return f.feed.Snapshot(ctx, c)
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -91,14 +91,18 @@
 }
 
 // follow plays the script to its end.
-func follow(t *testing.T, answers ...answer) (*follower, *script) {
-	t.Helper()
+func newFollower(feed snipeford.Feed) *follower {
 	clock := &timer.Service{}
-	feed := &script{answers: answers, ended: make(chan struct{})}
-	f := &follower{
+	return &follower{
 		feed: feed, registry: registry{}, timer: clock, fresh: &freshness.Clock{},
 		log: decision.New("n", log.InfoLevel, clock), changed: func(*directory.View) {},
 	}
+}
+
+func follow(t *testing.T, answers ...answer) (*follower, *script) {
+	t.Helper()
+	feed := &script{answers: answers, ended: make(chan struct{})}
+	f := newFollower(feed)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := feed.ended
 	done := make(chan error, 1)
@@ -235,3 +239,31 @@
 		}
 	}
 }
+
+// TestStoreOutageWithManyNodes answers an outage of the store in a fleet: what
+// fails the feeders fails the nodes that they feed.
+func TestStoreOutageWithManyNodes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		standby bool
+		want    int
+	}{
+		{"a node without a living feeder asks often", false, 3},
+		{"one whose feeder answers asks once", true, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			down := answer{err: snipeford.ErrUnavailable}
+			s := &script{answers: []answer{down, down, down}, ended: make(chan struct{})}
+			f := newFollower(s)
+			f.standby = func() bool { return c.standby }
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			if err := f.follow(ctx, snipeford.OperatorRows, 0); err != nil {
+				t.Fatal(err)
+			}
+			if got := min(len(s.calls), 3); got != c.want {
+				t.Errorf("got %d calls in a second, want %d", got, c.want)
+			}
+		})
+	}
+}
