Ask for the operator's rows alone while the store fails

Cause: of a node that is fed no more each collection asked the store by itself, though one answer tells that it is back. Change: upstreams and nodes are not asked for while the operator's rows fail and a feeder answers.

--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -53,6 +53,9 @@
 	// means never.
 	standby func() bool
 
+	// down says that the last call for the operator's rows failed.
+	down atomic.Bool
+
 	mu    sync.Mutex
 	state directory.State
 	// raw holds the rows of each collection, for other nodes.
@@ -79,9 +82,11 @@
 
 // follow reads a collection until ctx ends: a snapshot first, then its changes.
 func (f *follower) follow(ctx context.Context, c snipeford.Collection, wait time.Duration) error {
-	whole, pause, lost := true, firstPause, false
+	whole, pause, lost, fed := true, firstPause, false, false
 	for ctx.Err() == nil {
-		if f.fed != nil && f.fed() {
+		before := fed
+		fed = f.fed != nil && f.fed()
+		if fed || f.leaveToOperatorRows(c, before) {
 			f.timer.Sleep(ctx, fedPause)
 			whole = false
 			continue
@@ -100,6 +105,7 @@
 			}
 			f.failed(c, err, lost)
 			lost = true
+			f.noteOutage(c, true)
 			f.timer.Sleep(ctx, f.pauseFor(pause))
 			pause = min(2*pause, longestPause)
 			continue
@@ -108,11 +114,28 @@
 			f.log.Believed("store answers again", "Collection", c, "Version", batch.Version)
 		}
 		whole, pause, lost = false, firstPause, false
+		f.noteOutage(c, false)
 		f.apply(c, batch, sent)
 	}
 	return nil
 }
 
+func (f *follower) noteOutage(c snipeford.Collection, down bool) {
+	if c == snipeford.OperatorRows {
+		f.down.Store(down)
+	}
+}
+
+// leaveToOperatorRows reports whether a collection is not read because the
+// store fails: one collection that asks is enough to learn that it answers.
+// Before says that the node was fed at the last look.
+func (f *follower) leaveToOperatorRows(c snipeford.Collection, before bool) bool {
+	if c == snipeford.OperatorRows || f.standby == nil || !f.standby() {
+		return false
+	}
+	return before || f.down.Load()
+}
+
 // pauseFor returns how long to wait after a failed call.
 func (f *follower) pauseFor(pause time.Duration) time.Duration {
 	if f.standby != nil && f.standby() {
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -267,3 +267,27 @@
 		})
 	}
 }
+
+func TestOtherRowsWaitForTheOperators(t *testing.T) {
+	s := &script{ended: make(chan struct{})}
+	f := newFollower(s)
+	f.standby = func() bool { return true }
+	f.down.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if err := f.follow(ctx, snipeford.UpstreamRows, 0); err != nil {
+		t.Fatal(err)
+	}
+	assertCalls(t, s.calls)
+	t.Run("and are read once the store answers", func(t *testing.T) {
+		f.down.Store(false)
+		ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+		defer cancel()
+		if err := f.follow(ctx, snipeford.UpstreamRows, 0); err != nil {
+			t.Fatal(err)
+		}
+		if len(s.calls) == 0 {
+			t.Error("got no call, want one")
+		}
+	})
+}
