--- a/internal/request/relay/tickets.go
+++ b/internal/request/relay/tickets.go
@@ -48,7 +48,7 @@
 	for i := range engines {
 		t.names = append(t.names, string(c.head.Request)+"-"+strconv.Itoa(c.tries)+"-"+strconv.Itoa(i))
 	}
-	if at, err := t.order(c.ctx); err != nil {
+	if at, err := t.order(c.ctx, 0); err != nil {
 		t.release()
 		return nil, engines[at].ID, fmt.Errorf("reserve memory: %w", err)
 	}
@@ -61,12 +61,15 @@
 	return t, "", nil
 }
 
-// order reserves or renews at all engines, and returns the index of one that
-// refused.
-func (t *tickets) order(ctx context.Context) (int, error) {
+// order reserves or renews at the engines from an index on, and returns the
+// index of one that refused.
+func (t *tickets) order(ctx context.Context, from int) (int, error) {
 	var group errgroup.Group
 	failed := make([]error, len(t.held))
 	for i, u := range t.held {
+		if i < from {
+			continue
+		}
 		group.Go(func() error {
 			failed[i] = t.call.Memory.Reserve(ctx, u.Upstream, t.names[i], t.share, ticketHold)
 			return nil
@@ -82,15 +85,26 @@
 	return 0, nil
 }
 
+// renew keeps the memory set aside. The helpers' is renewed after the first
+// engine's: once that engine is gone nobody uses theirs, and it has to be free
+// soon though the broken connection may be noticed later.
 func (t *tickets) renew(ctx context.Context) {
 	defer t.done.Done()
 	for t.call.Timer.Sleep(ctx, renewEvery) {
-		if at, err := t.order(ctx); err != nil && ctx.Err() == nil {
+		at, err := t.renewAll(ctx)
+		if err != nil && ctx.Err() == nil {
 			t.call.Log.Decided("memory not renewed", t.call.head.Request, "Upstream", t.held[at].ID, "Error", err)
 		}
 	}
 }
 
+func (t *tickets) renewAll(ctx context.Context) (int, error) {
+	if err := t.call.Memory.Reserve(ctx, t.held[0].Upstream, t.names[0], t.share, ticketHold); err != nil {
+		return 0, err
+	}
+	return t.order(ctx, 1)
+}
+
 // check gives the attempt up where an engine does not use its memory: the
 // request hangs, and the memory is wanted by others.
 func (t *tickets) check(ctx context.Context, giveUp context.CancelCauseFunc) {
