Silence, delay, reset and cut one way the soak's connections

The relays in front of the store and, new, of each replica hold bytes back in one direction or both, make them late by up to 0.7 s, and reset their connections; seven faults more.

--- a/cmd/standin/soak/faults.go
+++ b/cmd/standin/soak/faults.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"syscall"
 	"time"
+
+	"snipeford/internal/emulate/relay"
 )
 
 // fault is one kind of fault. It returns once it is over.
@@ -64,6 +66,13 @@
 		r.Down.Store(false)
 		f.store.Put("servers", r.ID, f.rows[r.ID])
 	}},
+	{"store silent", hinder(storeWay, func(w *relay.Relay, _ *rand.Rand) { w.Silence(relay.Toward, relay.Back) })},
+	{"store cut one way", hinder(storeWay, func(w *relay.Relay, _ *rand.Rand) { w.Silence(relay.Back) })},
+	{"store slow", hinder(storeWay, delayed)},
+	{"replica silent", hinder(replicaWay, func(w *relay.Relay, _ *rand.Rand) { w.Silence(relay.Toward, relay.Back) })},
+	{"replica cut one way", hinder(replicaWay, func(w *relay.Relay, _ *rand.Rand) { w.Silence(relay.Back) })},
+	{"replica slow", hinder(replicaWay, delayed)},
+	{"replica resets", hinder(replicaWay, func(w *relay.Relay, _ *rand.Rand) { w.Reset() })},
 	{"zone out", func(ctx context.Context, f *fleet, rng *rand.Rand) {
 		key := "evacuate/" + zone(rng.IntN(3))
 		f.store.Put("op", key, []byte("{}"))
@@ -72,6 +81,28 @@
 	}},
 }
 
+// hinder plays a fault of connections through a relay for some seconds.
+func hinder(way func(*fleet, *rand.Rand) *relay.Relay, trouble func(*relay.Relay, *rand.Rand)) func(context.Context, *fleet, *rand.Rand) {
+	return func(ctx context.Context, f *fleet, rng *rand.Rand) {
+		w := way(f, rng)
+		trouble(w, rng)
+		pause(ctx, rng, 200, 4000)
+		w.Mend()
+	}
+}
+
+func storeWay(f *fleet, rng *rand.Rand) *relay.Relay { return f.pick(rng).store }
+
+func replicaWay(f *fleet, rng *rand.Rand) *relay.Relay { return f.ways[rng.IntN(len(f.ways))] }
+
+// delayed makes bytes late by up to longestDelay milliseconds.
+func delayed(w *relay.Relay, rng *rand.Rand) {
+	w.Delay(time.Duration(10+rng.IntN(longestDelay)) * time.Millisecond)
+}
+
+// longestDelay is beyond the time-outs of orders, in milliseconds.
+const longestDelay = 700
+
 // pick returns any node.
 func (f *fleet) pick(rng *rand.Rand) *node { return f.nodes[rng.IntN(len(f.nodes))] }
 
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -43,6 +43,8 @@
 	store    *standin.Store
 	ledger   *standin.Ledger
 	replicas []*standin.Replica
+	// ways are the relays in front of the replicas.
+	ways     []*relay.Relay
 	servers  []*http.Server
 	nodes    []*node
 	troubles *troubles
@@ -126,7 +128,12 @@
 	if err != nil {
 		return err
 	}
-	row, err := r.Entry(address)
+	way, err := relay.Start(address)
+	if err != nil {
+		return err
+	}
+	f.ways = append(f.ways, way)
+	row, err := r.Entry(way.Address())
 	if err != nil {
 		return fmt.Errorf("make replica's row: %w", err)
 	}
@@ -237,6 +244,9 @@
 		n.store.Close()
 		_ = n.log.Close()
 	}
+	for _, w := range f.ways {
+		w.Close()
+	}
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
--- a/internal/emulate/relay/relay.go
+++ b/internal/emulate/relay/relay.go
@@ -1,15 +1,25 @@
-// Package relay passes TCP connections on to another address until it is cut.
+// Package relay passes TCP connections on to another address until it is cut,
+// slowed down or silenced.
 package relay
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 )
 
+// Way is a direction through a relay.
+type Way int
+
+// Directions.
+const (
+	Toward Way = iota
+	Back
+)
+
 // Relay is a listener whose connections go on to Target.
 type Relay struct {
 	target   string
@@ -17,6 +27,11 @@
 	mu       sync.Mutex
 	cut      bool
 	open     map[net.Conn]bool
+	// silent directions hold all bytes back; delay is by how much the others
+	// are late. Changed is closed, and replaced, when one of these changes.
+	silent  map[Way]bool
+	delay   time.Duration
+	changed chan struct{}
 }
 
 // Start listens on loopback and passes connections on to the target.
@@ -25,7 +40,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("start relay: %w", trace.ConvertSystemError(err))
 	}
-	r := &Relay{target: target, listener: listener, open: map[net.Conn]bool{}}
+	r := &Relay{target: target, listener: listener, open: map[net.Conn]bool{}, silent: map[Way]bool{}, changed: make(chan struct{})}
 	go r.accept()
 	return r, nil
 }
@@ -43,16 +58,78 @@
 	}
 }
 
-// Mend lets connections through again.
+// Reset closes all connections; new ones pass.
+func (r *Relay) Reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.open {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			// Without lingering, the close is a reset.
+			_ = tcp.SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// Silence holds back all bytes of the ways until Mend; connections stay open.
+func (r *Relay) Silence(ways ...Way) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, w := range ways {
+		r.silent[w] = true
+	}
+}
+
+// Delay makes all bytes late until Mend.
+func (r *Relay) Delay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
+
+// Mend lets everything through again, what was held back included.
 func (r *Relay) Mend() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cut = false
+	r.cut, r.delay = false, 0
+	clear(r.silent)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// hindered waits as long as a way is silent, and for the delay.
+func (r *Relay) hindered(w Way) {
+	for {
+		r.mu.Lock()
+		silent, delay, changed := r.silent[w], r.delay, r.changed
+		r.mu.Unlock()
+		if !silent {
+			time.Sleep(delay)
+			return
+		}
+		<-changed
+	}
+}
+
+// copy passes bytes on until one end closes.
+func (r *Relay) copy(to, from net.Conn, w Way) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		r.hindered(w)
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
 }
 
 // Close ends the relay.
 func (r *Relay) Close() {
 	r.listener.Close()
+	r.Mend()
 	r.Cut()
 }
 
@@ -98,12 +175,8 @@
 		return
 	}
 	done := make(chan struct{}, 2)
-	for _, pair := range [][2]net.Conn{{from, to}, {to, from}} {
-		go func() {
-			// Either end closing ends the pair.
-			_, _ = io.Copy(pair[0], pair[1])
-			done <- struct{}{}
-		}()
-	}
+	// Either end closing ends the pair.
+	go func() { r.copy(to, from, Toward); done <- struct{}{} }()
+	go func() { r.copy(from, to, Back); done <- struct{}{} }()
 	<-done
 }
