Weigh an engine's state once a decision

Change: the rise of lateness is kept per limit, certain chances skip the curve, an engine's writers, backlog and costs are taken in once.

--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -20,6 +20,9 @@
 	// softness is the width, as a share of a limit, in which a predicted time
 	// near the limit counts as partly late. Predictions err by about a pass.
 	softness = 0.15
+	// certain is the distance from a limit, in half widths, from which a chance
+	// is taken as none or one: it differs by less than a hundred-thousandth.
+	certain = 12
 	// safety is the share of a limit that a prediction may use up.
 	safety = 0.85
 	// hastening is what a first event at its target costs beside one at once.
@@ -74,8 +77,14 @@
 	if limit <= 0 {
 		return 1
 	}
-	x := (time - safety*limit) / (softness * limit)
-	return 1 / (1 + math.Exp(-2*x))
+	x := 2 * (time - safety*limit) / (softness * limit)
+	switch {
+	case x > certain:
+		return 1
+	case x < -certain:
+		return 0
+	}
+	return 1 / (1 + math.Exp(-x))
 }
 
 func weight(prompt snipeford.Tokens) float64 { return 1 + float64(prompt)/weightTokens }
@@ -84,6 +93,10 @@
 // first event should come, in milliseconds from now.
 func (s *State) choose(now snipeford.Instant, ask snipeford.PlaceAsk, engines []*replica) (best snipeford.Placement, loss, due float64) {
 	loss = math.Inf(1)
+	looks := make([]look, len(engines))
+	for i, r := range engines {
+		looks[i] = s.look(now, ask, r)
+	}
 	for _, helpers := range helperCounts {
 		if !s.fair(ask, helpers) {
 			continue
@@ -97,7 +110,7 @@
 		if helpers > 0 && ask.Prompt/snipeford.Tokens(helpers+1) < leastPart {
 			break
 		}
-		p, l, first, ok := s.weigh(now, ask, engines, helpers)
+		p, l, first, ok := s.weigh(now, ask, looks, helpers)
 		if ok && l < loss {
 			best, loss, due = p, l, first
 		}
@@ -157,12 +170,12 @@
 }
 
 // weigh finds the best engines for a number of helpers.
-func (s *State) weigh(now snipeford.Instant, ask snipeford.PlaceAsk, usable []*replica, helpers int) (snipeford.Placement, float64, float64, bool) {
+func (s *State) weigh(now snipeford.Instant, ask snipeford.PlaceAsk, looks []look, helpers int) (snipeford.Placement, float64, float64, bool) {
 	part := s.model.reading(ask.Prompt) / float64(helpers+1)
-	options := make([]option, 0, len(usable))
+	options := make([]option, 0, len(looks))
 	w := weight(ask.Prompt)
-	for _, r := range usable {
-		o := s.option(now, ask, r, part)
+	for _, l := range looks {
+		o := s.option(now, l, part)
 		o.score = o.harm + w*lateness(o.first, ms(ask.Target)) + w*hastening*o.first/math.Max(ms(ask.Target), 1)
 		options = append(options, o)
 	}
@@ -176,31 +189,51 @@
 	return placed(ask, chosen, 0), s.loss(ask, chosen), finish(chosen), true
 }
 
-// option predicts what a part of the prompt does at one engine.
-func (s *State) option(now snipeford.Instant, ask snipeford.PlaceAsk, r *replica, part float64) option {
+// look is what of an engine does not depend on the part of a prompt that it
+// would read. Times are in milliseconds.
+type look struct {
+	r *replica
+	// base is the time of a pass of token steps with the newcomer, and residual
+	// what the running one still takes.
+	base, residual float64
+	// backlog is the reading that is still to be done, parts that of helpers.
+	backlog, parts float64
+	// turns is the wait for a slot, and side what the engine costs by its side of
+	// the split, its cold cache and its failure domain.
+	turns, side float64
+}
+
+// look takes an engine's state in for one request.
+func (s *State) look(now snipeford.Instant, ask snipeford.PlaceAsk, r *replica) look {
 	n, context := r.writers()
 	strangers := r.strangers(now)
 	n += strangers
-	base := s.model.pass(n+1, context+ask.Prompt)
-	backlog, parts := r.backlog(now)
-	residual := 0.0
-	if n > 0 || backlog > 0 {
-		residual = base / 2
+	l := look{r: r, base: s.model.pass(n+1, context+ask.Prompt), side: s.split(ask, r)}
+	l.backlog, l.parts = r.backlog(now)
+	if n > 0 || l.backlog > 0 {
+		l.residual = l.base / 2
 	}
-	residual += overdueFactor * r.overdue(now)
-	o := option{r: r, base: base, finish: callerHop + residual + parts + part, first: callerHop + residual + backlog + part + base}
+	l.residual += overdueFactor * r.overdue(now)
 	if waiting := len(r.jobs) + strangers - s.model.Slots; waiting >= 0 && s.model.Slots > 0 {
-		o.first += float64(waiting+1) * base * slotTurn
+		l.turns = float64(waiting+1) * l.base * slotTurn
 	}
-	o.harm = s.harm(now, r, base+backlog, part)
-	o.harm += s.split(ask, r)
 	if r.coldUntil > now {
-		o.harm += coldLoss
+		l.side += coldLoss
 	}
 	if r.domain != ask.Domain {
-		o.harm += otherDomain
+		l.side += otherDomain
+	}
+	return l
+}
+
+// option predicts what a part of the prompt does at one engine.
+func (s *State) option(now snipeford.Instant, l look, part float64) option {
+	return option{
+		r: l.r, base: l.base,
+		finish: callerHop + l.residual + l.parts + part,
+		first:  callerHop + l.residual + l.backlog + part + l.base + l.turns,
+		harm:   s.harm(now, l.r, l.base+l.backlog, part) + l.side,
 	}
-	return o
 }
 
 const (
@@ -212,27 +245,37 @@
 // pass milliseconds and part more.
 func (s *State) harm(now snipeford.Instant, r *replica, pass, part float64) float64 {
 	sum := 0.0
+	var pause, silence rise
 	for _, j := range r.jobs {
 		w := weight(j.ask.Prompt)
 		if j.stage == writing {
-			limit := ms(j.ask.Silence)
-			sum += w * lostShare * (lateness(pass+part, limit) - lateness(pass, limit))
+			sum += w * lostShare * silence.at(ms(j.ask.Silence), pass, part)
 		}
 		if j.late {
 			continue
 		}
 		if j.stage == writing {
-			limit := ms(j.ask.MaxPause)
-			sum += w * (lateness(pass+part, limit) - lateness(pass, limit))
+			sum += w * pause.at(ms(j.ask.MaxPause), pass, part)
 			continue
 		}
 		limit := ms(j.start.Add(j.ask.Target).Sub(now))
 		eta := math.Max(ms(j.due.Sub(now)), 0)
-		sum += weight(j.ask.Prompt) * (lateness(eta+part, limit) - lateness(eta, limit))
+		sum += w * (lateness(eta+part, limit) - lateness(eta, limit))
 	}
 	return sum
 }
 
+// rise remembers by how much the chance of lateness rises for a limit: the
+// streams of an engine share few limits.
+type rise struct{ limit, value float64 }
+
+func (r *rise) at(limit, pass, part float64) float64 {
+	if r.limit != limit {
+		r.limit, r.value = limit, lateness(pass+part, limit)-lateness(pass, limit)
+	}
+	return r.value
+}
+
 // lead returns the chosen engine that writes: the first by its own time whose
 // memory holds the whole prompt, or -1.
 func (s *State) lead(ask snipeford.PlaceAsk, chosen []option) int {
