Leave the whole reading to the feeder where the history is gone

Cause: when the store drops its history, each node whose feeder was late read all rows anew at once.

--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -98,6 +98,10 @@
 		case errors.Is(err, snipeford.ErrHistoryGone):
 			f.log.Believed("history of the store is gone", "Collection", c, "Version", version)
 			whole = true
+			if f.standby != nil && f.standby() {
+				// The feeder reads all rows anyhow and brings them.
+				f.timer.Sleep(ctx, standbyPause)
+			}
 			continue
 		case err != nil:
 			if ctx.Err() != nil {
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -291,3 +291,17 @@
 		}
 	})
 }
+
+// TestLostHistoryWithManyNodes answers a store that drops its history: if each
+// node read all rows at once, the store's rate and the nodes' memory would go.
+func TestLostHistoryWithManyNodes(t *testing.T) {
+	s := &script{answers: []answer{{batch: snipeford.Batch{Whole: true, Version: 5}}, {err: snipeford.ErrHistoryGone}}, ended: make(chan struct{})}
+	f := newFollower(s)
+	f.standby = func() bool { return true }
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if err := f.follow(ctx, snipeford.OperatorRows, 0); err != nil {
+		t.Fatal(err)
+	}
+	assertCalls(t, s.calls, "snapshot", "after 5")
+}
