Check a silent engine by a connection before its callers leave

Cause: an engine that is gone without a word is noticed when its connection times out, after 4 s; callers with short pauses leave after 2 s. Change: after 0.7 s of silence of a stream that may go on elsewhere, two tries to connect of 0.2 s each; without one the attempt is given up, and the home learns of the fault.

--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -94,8 +94,16 @@
 
 // upstreams answer by script and keep the requests that they got.
 type upstreams struct {
-	mu   sync.Mutex
-	seen []*http.Request
+	mu        sync.Mutex
+	seen      []*http.Request
+	listeners []net.Listener
+}
+
+// close makes an upstream accept no more connections; those that are open stay.
+func (u *upstreams) close(i int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_ = u.listeners[i].Close()
 }
 
 func (u *upstreams) count() int {
@@ -111,6 +119,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
+	u.listeners = append(u.listeners, listener)
 	go func() {
 		for {
 			c, err := listener.Accept()
@@ -243,7 +252,7 @@
 // next event.
 func events(from, to int, well bool) func(net.Conn, *http.Request) {
 	return func(c net.Conn, r *http.Request) {
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		open(c, r)
 		for i := from; i <= to; i++ {
 			chunk(c, fmt.Sprintf("id: %d\ndata: %d\n\n", i, i))
 		}
@@ -256,6 +265,11 @@
 	}
 }
 
+// open sends the head of a stream.
+func open(c net.Conn, r *http.Request) {
+	fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nSeal: x\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+}
+
 func chunk(c net.Conn, text string) { fmt.Fprintf(c, "%x\r\n%s\r\n", len(text), text) }
 
 func stream(from, to int) string {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -143,6 +143,8 @@
 	defer cancel(nil)
 	watch := s.watchFirst(p, cancel)
 	defer func() { watch.Stop() }()
+	guard := s.guard(attempt, p, cancel)
+	defer guard.Stop()
 	x, err := s.send(attempt, p, cancel)
 	if s.held != nil {
 		defer s.freeMemory()
@@ -167,6 +169,7 @@
 	}
 	s.attempts++
 	return s.relay(p, x, func() {
+		guard.Feed()
 		watch.Stop()
 		watch = s.watch(s.patience(), cancel)
 	})
--- a/internal/request/relay/stream_test.go
+++ b/internal/request/relay/stream_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"testing"
@@ -123,3 +124,37 @@
 	}
 	return u.Conn.Write(b)
 }
+
+// TestStreamOfALostEngine answers engines that are gone without a word, as half
+// of them in a burst: callers leave long before the connection times out.
+func TestStreamOfALostEngine(t *testing.T) {
+	var g *rig
+	hang := make(chan struct{})
+	defer close(hang)
+	silent := func(c net.Conn, r *http.Request) {
+		open(c, r)
+		for i := 1; i <= 3; i++ {
+			chunk(c, stream(i, i))
+		}
+		g.ups.close(0)
+		<-hang
+	}
+	g = newRig(t, silent, events(4, 6, true))
+	begin := time.Now()
+	assertAnswer(t, g.call(t, http.MethodPost, "/quick/x"), 200, stream(1, 6))
+	if took := time.Since(begin); took > 2*time.Second {
+		t.Errorf("got the answer after %v, want it before callers leave, 2 s", took)
+	}
+	t.Run("one that accepts connections goes on", func(t *testing.T) {
+		slow := func(c net.Conn, r *http.Request) {
+			open(c, r)
+			chunk(c, stream(1, 1))
+			time.Sleep(1200 * time.Millisecond)
+			chunk(c, stream(2, 2))
+			fmt.Fprint(c, "0\r\n\r\n")
+		}
+		g := newRig(t, slow, events(2, 2, true))
+		assertAnswer(t, g.call(t, http.MethodPost, "/quick/x"), 200, stream(1, 2))
+		assertArrivals(t, g, 1)
+	})
+}
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"snipeford"
@@ -23,6 +24,42 @@
 	leastPatience = 300 * time.Millisecond
 )
 
+const (
+	// checkAfter is the silence after which it is checked whether an engine still
+	// accepts connections. Passes that read much take as long.
+	checkAfter = 700 * time.Millisecond
+	// checkWithin is how long an engine may take to accept one; they are some
+	// milliseconds away.
+	checkWithin = 200 * time.Millisecond
+)
+
+// errUnreachable is the cause of an attempt whose engine is gone or cut off.
+var errUnreachable = errors.New("engine accepts no connection")
+
+// guard gives the attempt up where its engine is silent and accepts no
+// connection: the caller would leave before the kernel notices. It is fed with
+// each event.
+func (s *stream) guard(ctx context.Context, p snipeford.Placement, cancel context.CancelCauseFunc) *timer.Watchdog {
+	u, ok := s.find(p.Upstream)
+	if !ok || !s.route.Resumable || s.attempts+1 >= s.route.Attempts {
+		return s.Timer.Watch(s.left(), func() {})
+	}
+	var w atomic.Pointer[timer.Watchdog]
+	check := func() {
+		err := s.Pool.Reaches(ctx, u.Address, checkWithin)
+		if err == nil {
+			w.Load().Feed()
+			return
+		}
+		if ctx.Err() == nil {
+			s.Log.Decided("engine is gone", s.head.Request, "Upstream", p.Upstream, "Error", err)
+			cancel(errUnreachable)
+		}
+	}
+	w.Store(s.Timer.Watch(checkAfter, check))
+	return w.Load()
+}
+
 // errSilent is the cause of an attempt that was given up for its silence.
 var errSilent = errors.New("engine was silent for too long")
 
--- a/internal/upstream/connection/pool.go
+++ b/internal/upstream/connection/pool.go
@@ -84,6 +84,25 @@
 	return c
 }
 
+// Reaches reports whether an upstream accepts connections. Each of two tries
+// takes within at most: one lost packet says nothing.
+func (p *Pool) Reaches(ctx context.Context, address string, within time.Duration) error {
+	var err error
+	for range reachTries {
+		dialer := net.Dialer{Timeout: within}
+		var raw net.Conn
+		if raw, err = dialer.DialContext(ctx, "tcp4", address); err == nil {
+			// Nothing was sent, so that nothing can get lost with it.
+			_ = raw.Close()
+			return nil
+		}
+	}
+	return fmt.Errorf("upstream accepts no connection: %w", trace.ConvertSystemError(err))
+}
+
+// reachTries is how often Reaches tries.
+const reachTries = 2
+
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: setSilence, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: probeAfter, Interval: probeEvery, Count: probeFailed,
