--- a/internal/emulate/relay/relay.go
+++ b/internal/emulate/relay/relay.go
@@ -3,12 +3,15 @@
 package relay
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
+
+	"snipeford/internal/control/timer"
 )
 
 // Way is a direction through a relay.
@@ -23,6 +26,7 @@
 // Relay is a listener whose connections go on to Target.
 type Relay struct {
 	target   string
+	clock    timer.Service
 	listener net.Listener
 	mu       sync.Mutex
 	cut      bool
@@ -104,7 +108,7 @@
 		silent, delay, changed := r.silent[w], r.delay, r.changed
 		r.mu.Unlock()
 		if !silent {
-			time.Sleep(delay)
+			r.clock.Sleep(context.Background(), delay)
 			return
 		}
 		<-changed
