--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -264,6 +265,37 @@
 	})
 }
 
+// lines counts the lines written to it that name a message.
+type lines struct {
+	message string
+	count   atomic.Int64
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.count.Add(int64(strings.Count(string(p), l.message)))
+	return len(p), nil
+}
+
+// TestLostPeerIsLoggedOnce answers rows of nodes that are gone: each try to
+// connect wrote a line.
+func TestLostPeerIsLoggedOnce(t *testing.T) {
+	clock := &timer.Service{}
+	journal := decision.New("n1", log.InfoLevel, clock)
+	peers := map[snipeford.NodeID]directory.Peer{"n1": {Node: "n1"}, "n2": {Node: "n2", Address: "127.0.0.1:1"}}
+	l := &grant.Links{Self: peers["n1"], Loop: placer.New("n1", clock), Timer: clock, Log: journal, Knowledge: func() (time.Duration, bool) { return 0, true }}
+	ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+	defer cancel()
+	l.View(view(peers))
+	told := &lines{message: "peer not connected"}
+	go func() { _ = journal.Run(ctx, told) }()
+	if err := l.Run(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := told.count.Load(); got != 1 {
+		t.Errorf("got %d lines, want 1", got)
+	}
+}
+
 // BenchmarkPlace measures what asking the home adds to a decision, over
 // loopback.
 func BenchmarkPlace(b *testing.B) {
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -62,16 +62,19 @@
 
 // run connects and reads until ctx ends.
 func (l *link) run(ctx context.Context) {
-	pause := redialFirst
+	pause, told := redialFirst, false
 	for ctx.Err() == nil {
 		opened, err := l.connect(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if opened {
-			pause = redialFirst
+			pause, told = redialFirst, false
 		}
-		l.links.Log.Believed("peer not connected", "Peer", l.node, "Error", err)
+		if !told {
+			l.links.Log.Believed("peer not connected", "Peer", l.node, "Error", err)
+		}
+		told = true
 		l.links.Timer.Sleep(ctx, pause)
 		pause = min(2*pause, redialEvery)
 	}
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -93,7 +93,12 @@
 		}
 		sent := f.timer.Elapsed()
 		version, known := f.version(c)
-		batch, err := f.read(ctx, c, whole || !known, version, wait)
+		patience := wait
+		if lost {
+			// A call that the store swallows hides its return for as long.
+			patience = 0
+		}
+		batch, err := f.read(ctx, c, whole || !known, version, patience)
 		switch {
 		case errors.Is(err, snipeford.ErrHistoryGone):
 			f.log.Believed("history of the store is gone", "Collection", c, "Version", version)
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -24,6 +24,7 @@
 	mu      sync.Mutex
 	answers []answer
 	calls   []string
+	waits   []time.Duration
 	ended   chan struct{}
 }
 
@@ -60,7 +61,10 @@
 	return s.next(ctx, "snapshot")
 }
 
-func (s *script) Follow(ctx context.Context, _ snipeford.Collection, after uint64, _ time.Duration) (snipeford.Batch, error) {
+func (s *script) Follow(ctx context.Context, _ snipeford.Collection, after uint64, wait time.Duration) (snipeford.Batch, error) {
+	s.mu.Lock()
+	s.waits = append(s.waits, wait)
+	s.mu.Unlock()
 	return s.next(ctx, fmt.Sprintf("after %d", after))
 }
 
@@ -305,3 +309,14 @@
 	}
 	assertCalls(t, s.calls, "snapshot", "after 5")
 }
+
+// TestReturnOfTheStore answers a store that swallows calls: one that waits for
+// changes would hide its return for seconds.
+func TestReturnOfTheStore(t *testing.T) {
+	down := answer{err: snipeford.ErrUnavailable}
+	_, s := follow(t, answer{batch: snipeford.Batch{Whole: true, Version: 5}}, down, answer{batch: snipeford.Batch{Version: 5}})
+	want := []time.Duration{time.Second, 0, time.Second}
+	if fmt.Sprint(s.waits) != fmt.Sprint(want) {
+		t.Errorf("got waits of %v, want %v", s.waits, want)
+	}
+}
