--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -80,53 +80,76 @@
 	return &directory.View{}
 }
 
+// course is how far the reading of one collection has come.
+type course struct {
+	collection snipeford.Collection
+	// wait is how long the store may wait for changes.
+	wait time.Duration
+	// whole asks for all rows.
+	whole bool
+	// lost says that the last call failed, and pause how long to wait then.
+	lost  bool
+	pause time.Duration
+	// fed says that another node brought the rows at the last look.
+	fed bool
+}
+
 // follow reads a collection until ctx ends: a snapshot first, then its changes.
 func (f *follower) follow(ctx context.Context, c snipeford.Collection, wait time.Duration) error {
-	whole, pause, lost, fed := true, firstPause, false, false
+	at := &course{collection: c, wait: wait, whole: true, pause: firstPause}
 	for ctx.Err() == nil {
-		before := fed
-		fed = f.fed != nil && f.fed()
-		if fed || f.leaveToOperatorRows(c, before) {
+		before := at.fed
+		at.fed = f.fed != nil && f.fed()
+		if at.fed || f.leaveToOperatorRows(c, before) {
 			f.timer.Sleep(ctx, fedPause)
-			whole = false
+			at.whole = false
 			continue
 		}
-		sent := f.timer.Elapsed()
-		version, known := f.version(c)
-		patience := wait
-		if lost {
-			// A call that the store swallows hides its return for as long.
-			patience = 0
-		}
-		batch, err := f.read(ctx, c, whole || !known, version, patience)
-		switch {
-		case errors.Is(err, snipeford.ErrHistoryGone):
-			f.log.Believed("history of the store is gone", "Collection", c, "Version", version)
-			whole = true
-			if f.standby != nil && f.standby() {
-				// The feeder reads all rows anyhow and brings them.
-				f.timer.Sleep(ctx, standbyPause)
-			}
-			continue
-		case err != nil:
-			if ctx.Err() != nil {
-				return nil
-			}
-			f.failed(c, err, lost)
-			lost = true
-			f.noteOutage(c, true)
-			f.timer.Sleep(ctx, f.pauseFor(pause))
-			pause = min(2*pause, longestPause)
-			continue
+		f.turn(ctx, at)
+	}
+	return nil
+}
+
+// turn makes one call and takes its answer in.
+func (f *follower) turn(ctx context.Context, at *course) {
+	sent := f.timer.Elapsed()
+	version, known := f.version(at.collection)
+	batch, err := f.read(ctx, at, version, known)
+	switch {
+	case ctx.Err() != nil:
+	case errors.Is(err, snipeford.ErrHistoryGone):
+		f.log.Believed("history of the store is gone", "Collection", at.collection, "Version", version)
+		at.whole = true
+		if f.standby != nil && f.standby() {
+			// The feeder reads all rows anyhow and brings them.
+			f.timer.Sleep(ctx, standbyPause)
 		}
-		if lost {
-			f.log.Believed("store answers again", "Collection", c, "Version", batch.Version)
+	case err != nil:
+		f.failed(at.collection, err, at.lost)
+		at.lost = true
+		f.noteOutage(at.collection, true)
+		f.timer.Sleep(ctx, f.pauseFor(at.pause))
+		at.pause = min(2*at.pause, longestPause)
+	default:
+		if at.lost {
+			f.log.Believed("store answers again", "Collection", at.collection, "Version", batch.Version)
 		}
-		whole, pause, lost = false, firstPause, false
-		f.noteOutage(c, false)
-		f.apply(c, batch, sent)
+		at.whole, at.pause, at.lost = false, firstPause, false
+		f.noteOutage(at.collection, false)
+		f.apply(at.collection, batch, sent)
 	}
-	return nil
+}
+
+// read makes the call that comes next.
+func (f *follower) read(ctx context.Context, at *course, version uint64, known bool) (snipeford.Batch, error) {
+	switch {
+	case at.whole || !known:
+		return f.feed.Snapshot(ctx, at.collection)
+	case at.lost:
+		// A call that the store swallows hides its return for as long as it waits.
+		return f.feed.Follow(ctx, at.collection, version, 0)
+	}
+	return f.feed.Follow(ctx, at.collection, version, at.wait)
 }
 
 func (f *follower) noteOutage(c snipeford.Collection, down bool) {
@@ -153,13 +176,6 @@
 	return pause
 }
 
-func (f *follower) read(ctx context.Context, c snipeford.Collection, whole bool, version uint64, wait time.Duration) (snipeford.Batch, error) {
-	if whole {
-		return f.feed.Snapshot(ctx, c)
-	}
-	return f.feed.Follow(ctx, c, version, wait)
-}
-
 func (f *follower) failed(c snipeford.Collection, err error, before bool) {
 	f.mu.Lock()
 	f.state.Failed(f.timer.Now())
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -30,8 +30,8 @@
 	// lateWorth is what a late answer gains beside a timely one: a quarter on
 	// both users' sheets, less what its reading takes from requests to come.
 	lateWorth = 0.15
-	// lostShare is what is lost, beside its being in time, with a caller that
-	// leaves a stream and has to come back.
+	// lostShare is what a stream whose caller leaves loses beyond being late: the
+	// caller has to come back.
 	lostShare = 1
 	// otherDomain is what an engine in another failure domain costs.
 	otherDomain = 0.004
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -162,7 +162,7 @@
 }
 
 // overdueGrace is by how many milliseconds a first event may miss its
-// prediction before its engine counts as overdue: nine in ten miss it by less.
+// prediction before its engine counts as overdue: three passes without reading.
 const overdueGrace = 200
 
 // foreignFresh is how long an engine's own word on its load counts.
