Dial peers for 0.2 s at most

Cause: after a power-off a VM that is back sooner dials peers that are still dark; a lost packet is sent again after a second, and the try ended after 0.5 s. Change: a try to connect ends after 0.2 s; the pause between tries doubles as before. No test: loopback has no address that answers nothing.

--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -29,7 +29,10 @@
 	// redialEvery.
 	redialFirst = 40 * time.Millisecond
 	redialEvery = 300 * time.Millisecond
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout bounds a try to connect. A VM that is without power answers
+	// nothing, and may be back before a lost packet is sent again; nodes are at
+	// most some ten milliseconds apart.
+	dialTimeout = 200 * time.Millisecond
 )
 
 // errGone says that the connection ended before the answer came.
