Say once how long a caller waits for its first event

The shorter of two limits was taken in three places of the placement; it is one function now. Ruled out: a change of behaviour (the limits are the same; tests of placement and its modelled loads pass as before).

--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -130,7 +130,7 @@
 	if whole <= giantReading || ask.Alone && s.fits(ask) {
 		return true
 	}
-	limit := giantPatience * ms(min(ask.Patience, ask.FirstWithin))
+	limit := giantPatience * ms(remaining(ask))
 	for _, fewest := range helperCounts {
 		if whole/float64(fewest+1) <= limit {
 			return helpers == fewest
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -123,13 +123,16 @@
 // hopeless reports whether a request is refused: nothing can serve it in its
 // time, or its caller is about to leave.
 func (s *State) hopeless(ask snipeford.PlaceAsk) bool {
-	left := min(ask.Patience, ask.FirstWithin)
+	left := remaining(ask)
 	if left < leastLeft || len(s.order) == 0 || s.model.ReadRate <= 0 {
 		return true
 	}
 	return s.model.reading(ask.Prompt)/float64(s.mostEngines(ask)) > ms(left)
 }
 
+// remaining returns how long the caller still waits for its first event.
+func remaining(ask snipeford.PlaceAsk) time.Duration { return min(ask.Patience, ask.FirstWithin) }
+
 // mostEngines returns how many engines can read a prompt together at most.
 func (s *State) mostEngines(ask snipeford.PlaceAsk) int {
 	most := min(int(ask.Prompt/leastPart), 1+helperCounts[len(helperCounts)-1], len(s.order))
@@ -194,7 +197,7 @@
 	if lateness(due, ms(ask.Target)) > timely && !s.worthNow(now, usable, engines, short) {
 		return snipeford.Placement{}, false
 	}
-	if lateness(due, ms(min(ask.FirstWithin, ask.Patience))) > mostRisk {
+	if lateness(due, ms(remaining(ask))) > mostRisk {
 		return snipeford.Placement{}, false
 	}
 	if harm, gain := s.balance(ask, loss, due); harm > gain {
