Reserve a loopback address for the processes of a run

Cause: the soak chose a node's four ports by opening and closing listeners on port 0.

Change: package loopback reserves an IP address of 127.77.0.0/24 for a run by a listener that stays open, and hands out each of its ports once. Ports below the ephemeral range of an address that nothing else uses stay free while a process restarts. The soak and the rig use it instead of their own functions; two runs side by side get different addresses.

--- a/cmd/standin/rig/rig.go
+++ b/cmd/standin/rig/rig.go
@@ -7,7 +7,6 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,12 +14,12 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"snipeford"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/emulate/loopback"
 	"snipeford/internal/emulate/relay"
 	"snipeford/internal/experiment/load"
 )
@@ -83,6 +82,8 @@
 	// TableRelays and PeerRelays hold one relay per node if Plan.Relays is set.
 	TableRelays, PeerRelays []*relay.Relay
 
+	// host provides the addresses of the processes.
+	host      *loopback.Host
 	mu        sync.Mutex
 	processes map[string]*Process
 	client    http.Client
@@ -103,10 +104,16 @@
 }
 
 func (r *Rig) startProcesses(ctx context.Context) error {
-	addresses, err := freeAddresses(2 + r.Plan.Engines + r.Plan.Services + 3*r.Plan.Nodes)
-	if err != nil {
+	var err error
+	if r.host, err = loopback.Reserve(); err != nil {
 		return err
 	}
+	addresses := make([]string, 2+r.Plan.Engines+r.Plan.Services+3*r.Plan.Nodes)
+	for i := range addresses {
+		if addresses[i], err = r.host.Address(); err != nil {
+			return fmt.Errorf("choose address of process: %w", err)
+		}
+	}
 	next := func() string {
 		a := addresses[0]
 		addresses = addresses[1:]
@@ -321,6 +328,10 @@
 		<-p.exited
 		killed++
 	}
+	if r.host != nil {
+		// Closing a listener fails only if it is closed already.
+		_ = r.host.Close()
+	}
 	return killed
 }
 
@@ -403,32 +414,3 @@
 	}
 	return nil
 }
-
-// Rigs use ports below the ephemeral range, so that no outgoing connection, such
-// as one of another rig, takes a port between its selection and its use.
-const (
-	firstPort = 20_000
-	lastPort  = 30_000
-)
-
-var nextPort atomic.Int64
-
-// freeAddresses returns n loopback addresses without a listener.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for tries := 0; len(out) < n; tries++ {
-		if tries > lastPort-firstPort {
-			return nil, errors.New("not enough free loopback ports")
-		}
-		span := int64(lastPort - firstPort)
-		port := firstPort + (nextPort.Add(1)+int64(os.Getpid())*97)%span
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
-		}
-		l.Close()
-		out = append(out, address)
-	}
-	return out, nil
-}
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"snipeford/internal/control/timer"
+	"snipeford/internal/emulate/loopback"
 	"snipeford/internal/emulate/relay"
 	"snipeford/platform/standin"
 )
@@ -48,6 +49,8 @@
 	replicaRelays []*relay.Relay
 	servers       []*http.Server
 	nodes         []*node
+	// host provides the nodes' addresses, which are fixed across restarts.
+	host          *loopback.Host
 	replicaFaults *faultSource
 	replicaRows   map[string][]byte
 }
@@ -89,14 +92,18 @@
 	// All random generators use the run's seed, each with its own PCG stream: 2 for
 	// the faults of replicas, from 10 for injectFaults and from 100 for clients.
 	f.replicaFaults = &faultSource{rng: rand.New(rand.NewPCG(p.Seed, 2)), rate: replicaFaultRate}
+	var err error
+	if f.host, err = loopback.Reserve(); err != nil {
+		return nil, err
+	}
 	configuration, err := standin.Configuration(1, host)
 	if err != nil {
-		return nil, fmt.Errorf("encode routing configuration: %w", err)
+		return f, fmt.Errorf("encode routing configuration: %w", err)
 	}
 	f.store.Put("op", "config", configuration)
 	address, err := f.serve(f.store.Handler())
 	if err != nil {
-		return nil, err
+		return f, err
 	}
 	for i := range p.ModelReplicas + p.ServiceReplicas {
 		if err := f.startReplica(i); err != nil {
@@ -166,9 +173,13 @@
 `
 
 func (f *fleet) startNode(i int, storeAddress string) error {
-	addresses, err := freeAddresses(4)
-	if err != nil {
-		return err
+	var addresses [4]string
+	for k := range addresses {
+		address, err := f.host.Address()
+		if err != nil {
+			return fmt.Errorf("choose address of node: %w", err)
+		}
+		addresses[k] = address
 	}
 	storeRelay, err := relay.Start(storeAddress)
 	if err != nil {
@@ -187,20 +198,6 @@
 	return n.start(f.plan.Program)
 }
 
-// freeAddresses returns n loopback addresses with unused ports.
-func freeAddresses(n int) ([]string, error) {
-	var out []string
-	for range n {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			return nil, fmt.Errorf("find free port: %w", err)
-		}
-		defer l.Close()
-		out = append(out, l.Addr().String())
-	}
-	return out, nil
-}
-
 func (n *node) start(program string) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -254,4 +251,5 @@
 	for _, s := range f.servers {
 		_ = s.Close()
 	}
+	_ = f.host.Close()
 }
