Run the tests of placements between nodes in virtual time

Cause: TestQueuedRequestWaitsForPlacement failed once beside five other test runs: the entry node placed the request itself after 65.5 ms. The entry node gives the home 40 ms for its first reply ("queued" here), and both ran on the real clock of a busy machine. TestEntryNodePlacesRequestOfLateHome delays the replies by 60 ms and gets the same outcome each time, a placement by the entry node after 40 ms: it is the documented fallback, not a fault.

Change: grant.Client takes a dial function, the tests connect nodes in memory and run in synctest bubbles, with the same bounds as before. Ruled out: a longer wait for the home, which every request would pay for when a home hangs.

--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -48,34 +49,42 @@
 	return &directory.View{Plan: plan.New(r), Usable: map[snipeford.ServiceName][]directory.Upstream{"s": usable}, Peers: peers}
 }
 
-// startNodes starts nodes and waits until they are connected. The frozen node
-// accepts connections but sends nothing.
-func startNodes(t testing.TB, ids []snipeford.NodeID, frozen snipeford.NodeID) map[snipeford.NodeID]*node {
-	t.Helper()
-	return startNodesWithPings(t, ids, frozen, 0)
+// cluster describes the nodes that a test starts. The zero value of each field but
+// nodes is the default.
+type cluster struct {
+	nodes []snipeford.NodeID
+	// frozen is a node that accepts connections but sends nothing.
+	frozen snipeford.NodeID
+	// replyDelay delays the replies of all nodes to placement requests.
+	replyDelay   time.Duration
+	pingInterval time.Duration
+	// loopback connects the nodes over TCP. The default are connections in memory,
+	// for tests in a synctest bubble.
+	loopback bool
 }
 
-// startNodesWithPings is startNodes with a ping interval. Zero means the default.
-func startNodesWithPings(t testing.TB, ids []snipeford.NodeID, frozen snipeford.NodeID, pingInterval time.Duration) map[snipeford.NodeID]*node {
+// start starts the nodes and waits until they are connected.
+func (c cluster) start(t testing.TB) map[snipeford.NodeID]*node {
 	t.Helper()
 	peers := map[snipeford.NodeID]directory.Peer{}
 	listeners := map[snipeford.NodeID]net.Listener{}
-	for _, id := range ids {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+	memory := &memoryNetwork{listeners: map[string]*memoryListener{}}
+	for _, id := range c.nodes {
+		l := memory.listen(string(id))
+		if c.loopback {
+			l = listenLoopback(t)
 		}
 		listeners[id] = l
 		peers[id] = directory.Peer{Node: id, Address: l.Addr().String(), ProcessorShare: 1}
 	}
 	nodes := map[snipeford.NodeID]*node{}
-	for _, id := range ids {
-		if id == frozen {
+	for _, id := range c.nodes {
+		if id == c.frozen {
 			go discardInput(listeners[id])
 			t.Cleanup(func() { _ = listeners[id].Close() })
 			continue
 		}
-		nodes[id] = startNode(t, peers[id], peers, listeners[id], pingInterval)
+		nodes[id] = c.startNode(t, peers[id], peers, listeners[id], memory)
 	}
 	time.Sleep(400 * time.Millisecond)
 	return nodes
@@ -92,21 +101,27 @@
 	}
 }
 
-func startNode(t testing.TB, self directory.Peer, peers map[snipeford.NodeID]directory.Peer, l net.Listener, pingInterval time.Duration) *node {
+func (c cluster) startNode(t testing.TB, self directory.Peer, peers map[snipeford.NodeID]directory.Peer, l net.Listener, memory *memoryNetwork) *node {
 	t.Helper()
 	clock := &timer.Clock{}
+	// Instant zero means that something never happened.
+	clock.Now()
+	time.Sleep(time.Millisecond)
 	n := &node{}
 	decisionLog := decision.New(self.Node, log.InfoLevel, clock)
 	loop := placer.New(self.Node, clock)
 	server := &grant.Server{Loop: loop, Timer: clock, Log: decisionLog, RoutingStatus: func() (snipeford.Version, time.Duration, bool) { return 1, n.staleness(), true }}
-	loop.Deliver = server.Deliver
+	loop.Deliver = func(r placer.PlacementReply) { time.AfterFunc(c.replyDelay, func() { server.Deliver(r) }) }
 	server.Subscribe = func(push func(grant.Rows)) func() {
 		for _, c := range []snipeford.Collection{snipeford.OperatorRows, snipeford.UpstreamRows, snipeford.MemberRows} {
 			push(grant.Rows{Collection: c, Batch: snipeford.Batch{Snapshot: true, Version: 7}})
 		}
 		return func() {}
 	}
-	client := &grant.Client{PingInterval: pingInterval, Self: self, Loop: loop, Timer: clock, Log: decisionLog, Staleness: func() (time.Duration, bool) { return n.staleness(), true }}
+	client := &grant.Client{PingInterval: c.pingInterval, Self: self, Loop: loop, Timer: clock, Log: decisionLog, Staleness: func() (time.Duration, bool) { return n.staleness(), true }}
+	if !c.loopback {
+		client.Dial = memory.dial
+	}
 	client.ApplyRows = func(grant.Rows) { n.rowFrames.Add(1) }
 	client.ConfirmRows = func(snipeford.Instant) {
 		if n.rowFrames.Load() < 3 {
@@ -141,15 +156,15 @@
 }
 
 func TestAllNodesUseOneHome(t *testing.T) {
-	nodes := startNodes(t, defaultNodes, "")
-	want := rankedNodes()[0]
-	for name, n := range nodes {
-		p, decidedBy := n.client.Place(context.Background(), placementRequest("from-"+string(name)))
-		if p.Refused || decidedBy != want {
-			t.Errorf("%s: got placement %+v by %s, want one by %s", name, p, decidedBy, want)
+	synctest.Test(t, func(t *testing.T) {
+		nodes := cluster{nodes: defaultNodes}.start(t)
+		want := rankedNodes()[0]
+		for name, n := range nodes {
+			p, decidedBy := n.client.Place(context.Background(), placementRequest("from-"+string(name)))
+			if p.Refused || decidedBy != want {
+				t.Errorf("%s: got placement %+v by %s, want one by %s", name, p, decidedBy, want)
+			}
 		}
-	}
-	t.Run("an ended request is no longer listed", func(t *testing.T) {
 		last := rankedNodes()[2]
 		nodes[last].client.ReportEnd("s", "from-"+snipeford.RequestID(last), false, "")
 		if got := len(nodes[last].loop.PlacedCalls()); got != 0 {
@@ -162,99 +177,121 @@
 // agree on a home before the first round of pings. Until they agree, each node
 // places requests without knowing those of the others.
 func TestNodesAgreeOnHomeOnceConnected(t *testing.T) {
-	nodes := startNodesWithPings(t, defaultNodes, "", time.Hour)
-	for name, n := range nodes {
-		if p, decidedBy := n.client.Place(context.Background(), placementRequest("from-"+string(name))); p.Refused || decidedBy != rankedNodes()[0] {
-			t.Errorf("%s: got placement %+v by %s, want one by %s before the first round of pings", name, p, decidedBy, rankedNodes()[0])
+	synctest.Test(t, func(t *testing.T) {
+		nodes := cluster{nodes: defaultNodes, pingInterval: time.Hour}.start(t)
+		for name, n := range nodes {
+			if p, decidedBy := n.client.Place(context.Background(), placementRequest("from-"+string(name))); p.Refused || decidedBy != rankedNodes()[0] {
+				t.Errorf("%s: got placement %+v by %s, want one by %s before the first round of pings", name, p, decidedBy, rankedNodes()[0])
+			}
 		}
-	}
+	})
 }
 
 func TestFrozenHomeAddsLittleLatency(t *testing.T) {
-	frozen := rankedNodes()[0]
-	nodes := startNodes(t, defaultNodes, frozen)
-	for name, n := range nodes {
-		started := time.Now()
-		p, decidedBy := n.client.Place(context.Background(), placementRequest("a-"+string(name)))
-		if p.Refused || decidedBy == frozen {
-			t.Errorf("%s: got placement %+v by %s, want one by another node", name, p, decidedBy)
-		}
-		if elapsed := time.Since(started); elapsed > 300*time.Millisecond {
-			t.Errorf("%s: got a placement after %v, want it within 300 ms", name, elapsed)
+	synctest.Test(t, func(t *testing.T) {
+		frozen := rankedNodes()[0]
+		nodes := cluster{nodes: defaultNodes, frozen: frozen}.start(t)
+		for name, n := range nodes {
+			started := time.Now()
+			p, decidedBy := n.client.Place(context.Background(), placementRequest("a-"+string(name)))
+			if p.Refused || decidedBy == frozen {
+				t.Errorf("%s: got placement %+v by %s, want one by another node", name, p, decidedBy)
+			}
+			if elapsed := time.Since(started); elapsed > 300*time.Millisecond {
+				t.Errorf("%s: got a placement after %v, want it within 300 ms", name, elapsed)
+			}
 		}
-	}
+	})
 }
 
 func TestStandbyReplacesStoppedHome(t *testing.T) {
-	nodes := startNodes(t, defaultNodes, "")
-	first, second := rankedNodes()[0], rankedNodes()[1]
-	nodes[first].stop()
-	time.Sleep(700 * time.Millisecond)
-	p, decidedBy := nodes[rankedNodes()[2]].client.Place(context.Background(), placementRequest("after"))
-	if p.Refused || decidedBy != second {
-		t.Errorf("got placement %+v by %s, want one by the next node %s", p, decidedBy, second)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		nodes := cluster{nodes: defaultNodes}.start(t)
+		first, second := rankedNodes()[0], rankedNodes()[1]
+		nodes[first].stop()
+		time.Sleep(700 * time.Millisecond)
+		p, decidedBy := nodes[rankedNodes()[2]].client.Place(context.Background(), placementRequest("after"))
+		if p.Refused || decidedBy != second {
+			t.Errorf("got placement %+v by %s, want one by the next node %s", p, decidedBy, second)
+		}
+	})
 }
 
 // TestStandbyReplacesStaleHome guards against a home that is cut off from the
 // store and therefore places requests on upstreams that have left.
 func TestStandbyReplacesStaleHome(t *testing.T) {
-	nodes := startNodes(t, defaultNodes, "")
-	first, second, third := rankedNodes()[0], rankedNodes()[1], rankedNodes()[2]
-	nodes[first].stalenessNanos.Store(int64(8 * time.Second))
-	time.Sleep(1300 * time.Millisecond)
-	for _, name := range []snipeford.NodeID{first, third} {
-		if p, decidedBy := nodes[name].client.Place(context.Background(), placementRequest("late-"+string(name))); p.Refused || decidedBy != second {
-			t.Errorf("%s: got placement %+v by %s, want one by %s", name, p, decidedBy, second)
+	synctest.Test(t, func(t *testing.T) {
+		nodes := cluster{nodes: defaultNodes}.start(t)
+		first, second, third := rankedNodes()[0], rankedNodes()[1], rankedNodes()[2]
+		nodes[first].stalenessNanos.Store(int64(8 * time.Second))
+		time.Sleep(1300 * time.Millisecond)
+		for _, name := range []snipeford.NodeID{first, third} {
+			if p, decidedBy := nodes[name].client.Place(context.Background(), placementRequest("late-"+string(name))); p.Refused || decidedBy != second {
+				t.Errorf("%s: got placement %+v by %s, want one by %s", name, p, decidedBy, second)
+			}
 		}
-	}
-	t.Run("equally stale nodes keep the home", func(t *testing.T) {
 		for _, n := range nodes {
 			n.stalenessNanos.Store(int64(9 * time.Second))
 		}
 		time.Sleep(1300 * time.Millisecond)
 		if p, decidedBy := nodes[third].client.Place(context.Background(), placementRequest("outage")); p.Refused || decidedBy != first {
-			t.Errorf("got placement %+v by %s, want one by %s", p, decidedBy, first)
+			t.Errorf("all nodes equally stale: got placement %+v by %s, want one by %s", p, decidedBy, first)
 		}
 	})
 }
 
 func TestQueuedRequestWaitsForPlacement(t *testing.T) {
-	nodes := startNodes(t, defaultNodes, "")
-	first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
-	for i := range 4 * engineProfile().Slots {
-		id := "busy" + string(rune('0'+i/10)) + string(rune('0'+i%10))
-		if p, _ := first.client.Place(context.Background(), placementRequest(id)); p.Refused {
-			t.Fatalf("got %+v, want a placement", p)
+	synctest.Test(t, func(t *testing.T) {
+		nodes := cluster{nodes: defaultNodes}.start(t)
+		first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
+		for i := range 4 * engineProfile().Slots {
+			id := "busy" + string(rune('0'+i/10)) + string(rune('0'+i%10))
+			if p, _ := first.client.Place(context.Background(), placementRequest(id)); p.Refused {
+				t.Fatalf("got %+v, want a placement", p)
+			}
+			first.client.ReportFirstEvent("s", snipeford.RequestID(id), snipeford.EngineLoad{})
 		}
-		first.client.ReportFirstEvent("s", snipeford.RequestID(id), snipeford.EngineLoad{})
-	}
-	time.AfterFunc(200*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
-	started := time.Now()
-	p, decidedBy := last.client.Place(context.Background(), placementRequest("waits"))
-	if elapsed := time.Since(started); p.Refused || decidedBy != rankedNodes()[0] || elapsed < 150*time.Millisecond {
-		t.Errorf("got placement %+v by %s after %v, want one by the home once a slot is free", p, decidedBy, elapsed)
-	}
+		time.AfterFunc(200*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
+		started := time.Now()
+		p, decidedBy := last.client.Place(context.Background(), placementRequest("waits"))
+		if elapsed := time.Since(started); p.Refused || decidedBy != rankedNodes()[0] || elapsed < 150*time.Millisecond {
+			t.Errorf("got placement %+v by %s after %v, want one by the home once a slot is free", p, decidedBy, elapsed)
+		}
+	})
+}
+
+// TestEntryNodePlacesRequestOfLateHome checks the fallback for a home whose replies
+// take longer than the entry node waits, as when its processor is busy.
+func TestEntryNodePlacesRequestOfLateHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := cluster{nodes: defaultNodes, replyDelay: 60 * time.Millisecond}.start(t)
+		last := rankedNodes()[2]
+		started := time.Now()
+		p, decidedBy := nodes[last].client.Place(context.Background(), placementRequest("late"))
+		if elapsed := time.Since(started); p.Refused || decidedBy != last || elapsed > 45*time.Millisecond {
+			t.Errorf("got placement %+v by %s after %v, want one by the entry node within 45 ms", p, decidedBy, elapsed)
+		}
+	})
 }
 
 // TestFeederForwardsStoreRows guards against each node reading the store itself,
 // with store calls that grow with the number of nodes.
 func TestFeederForwardsStoreRows(t *testing.T) {
-	nodeIDs := []snipeford.NodeID{"n1", "n2", "n3", "n4", "n5", "n6"}
-	nodes := startNodes(t, nodeIDs, "")
-	fedNodes := 0
-	for _, n := range nodes {
-		if n.client.HasFreshFeed() {
-			fedNodes++
-			if n.rowFrames.Load() < 3 || n.confirmations.Load() == 0 {
-				t.Errorf("got %d row frames and %d confirmations, want at least 3 and 1", n.rowFrames.Load(), n.confirmations.Load())
+	synctest.Test(t, func(t *testing.T) {
+		nodeIDs := []snipeford.NodeID{"n1", "n2", "n3", "n4", "n5", "n6"}
+		nodes := cluster{nodes: nodeIDs}.start(t)
+		fedNodes := 0
+		for _, n := range nodes {
+			if n.client.HasFreshFeed() {
+				fedNodes++
+				if n.rowFrames.Load() < 3 || n.confirmations.Load() == 0 {
+					t.Errorf("got %d row frames and %d confirmations, want at least 3 and 1", n.rowFrames.Load(), n.confirmations.Load())
+				}
 			}
 		}
-	}
-	if fedNodes != 5 {
-		t.Errorf("got %d nodes with a fresh feed, want 5 of 6 in one failure domain", fedNodes)
-	}
-	t.Run("a stale feeder is not used", func(t *testing.T) {
+		if fedNodes != 5 {
+			t.Errorf("got %d nodes with a fresh feed, want 5 of 6 in one failure domain", fedNodes)
+		}
 		for _, n := range nodes {
 			n.stalenessNanos.Store(int64(4 * time.Second))
 		}
@@ -301,7 +338,7 @@
 // BenchmarkPlace measures what the request to the home adds to the time of a
 // placement, over loopback.
 func BenchmarkPlace(b *testing.B) {
-	nodes := startNodesWithPings(b, defaultNodes, "", 0)
+	nodes := cluster{nodes: defaultNodes, loopback: true}.start(b)
 	for role, name := range map[string]snipeford.NodeID{"at the home": rankedNodes()[0], "at another node": rankedNodes()[2]} {
 		b.Run(role, func(b *testing.B) {
 			for i := 0; b.Loop(); i++ {
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -89,8 +89,7 @@
 // connect opens a connection and reads from it until it breaks. It reports
 // whether the connection was opened, and the error that ended it.
 func (l *link) connect(ctx context.Context) (bool, error) {
-	dialer := net.Dialer{Timeout: dialTimeout}
-	c, err := dialer.DialContext(ctx, "tcp4", l.address)
+	c, err := l.dial(ctx)
 	if err != nil {
 		return false, fmt.Errorf("connect to peer: %w", trace.ConvertSystemError(err))
 	}
@@ -110,6 +109,14 @@
 	return true, l.read(fc)
 }
 
+func (l *link) dial(ctx context.Context) (net.Conn, error) {
+	if l.client.Dial != nil {
+		return l.client.Dial(ctx, l.address)
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	return dialer.DialContext(ctx, "tcp4", l.address)
+}
+
 func (l *link) setConn(fc *frameConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"math"
+	"net"
 	"sync"
 	"time"
 
@@ -42,6 +43,9 @@
 	// false if they were never known to be current.
 	Staleness func() (time.Duration, bool)
 
+	// Dial connects to the address of a peer. Nil means a TCP connection.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	// PingInterval is the time between two pings. Zero means
 	// defaultPingInterval.
 	PingInterval time.Duration
