Limit the size of an upstream's status line and header

Cause: http.ReadResponse has no limit of its own, so that an upstream that sends bytes without end where a head is due fills the node's memory until the deadline of the request. Informational responses had no limit in number either. A further attempt of the same request could get the connection of the earlier one, where a late second copy of the first response has the right request id.

--- a/internal/upstream/connection/pool.go
+++ b/internal/upstream/connection/pool.go
@@ -52,20 +52,25 @@
 // conn is one connection. It carries at most one request at a time.
 type conn struct {
 	net.Conn
+	head    *headReader
 	reader  *bufio.Reader
 	address string
 	reused  bool
 	expires snipeford.Instant
+	// lastRequest is the request that was sent last.
+	lastRequest snipeford.RequestID
 }
 
-// get returns an idle connection that is still reusable, or opens a new one.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns an idle connection that is still reusable, or opens a new one. A
+// request that is sent again needs another connection than before: a second
+// response to its first attempt could not be told from that to the new one.
+func (p *Pool) get(ctx context.Context, address string, id snipeford.RequestID) (*conn, error) {
 	for {
 		c := p.pop(address)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if p.Timer.Now() < c.expires && isReusable(c.Conn) {
+		if p.Timer.Now() < c.expires && c.lastRequest != id && isReusable(c.Conn) {
 			c.reused = true
 			return c, nil
 		}
@@ -116,7 +121,8 @@
 	if p.OnOpen != nil {
 		p.OnOpen(address)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferSize), address: address}, nil
+	head := &headReader{source: raw}
+	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), address: address}, nil
 }
 
 // setUserTimeout makes the kernel close a connection whose peer does not
