--- a/internal/fleet/grant/feed.go
+++ b/internal/fleet/grant/feed.go
@@ -51,8 +51,12 @@
 	go f.write()
 	cancel := subscribe(func(r Rows) { f.enqueue(Frame{Rows: &r}) })
 	f.mu.Lock()
-	defer f.mu.Unlock()
 	f.cancel = cancel
+	stopped := f.stopped
+	f.mu.Unlock()
+	if stopped {
+		cancel()
+	}
 }
 
 // sendPong sends a pong. If the peer has subscribed, the pong follows all rows
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"snipeford"
+	"snipeford/internal/control/timer"
 )
 
 // Frame is one message between two nodes. Exactly one field is set.
@@ -90,18 +91,19 @@
 	conn    net.Conn
 	mu      sync.Mutex
 	encoder *json.Encoder
-	now     func() time.Time
+	timer   *timer.Clock
 }
 
-func newFrameConn(c net.Conn, now func() time.Time) *frameConn {
-	return &frameConn{conn: c, encoder: json.NewEncoder(c), now: now}
+func newFrameConn(c net.Conn, t *timer.Clock) *frameConn {
+	return &frameConn{conn: c, encoder: json.NewEncoder(c), timer: t}
 }
 
 // send writes one frame. If the write fails, the connection is closed.
 func (fc *frameConn) send(f Frame) error {
 	fc.mu.Lock()
 	defer fc.mu.Unlock()
-	if err := fc.conn.SetWriteDeadline(fc.now().Add(writeTimeout)); err != nil {
+	if err := fc.conn.SetWriteDeadline(fc.timer.Deadline(writeTimeout)); err != nil {
+		fc.close()
 		return fmt.Errorf("set write deadline: %w", err)
 	}
 	if err := fc.encoder.Encode(f); err != nil {
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return false, fmt.Errorf("connect to peer: %w", trace.ConvertSystemError(err))
 	}
-	fc := newFrameConn(c, l.client.Timer.Wall)
+	fc := newFrameConn(c, l.client.Timer)
 	stop := context.AfterFunc(ctx, fc.close)
 	defer stop()
 	defer l.dropConn(fc)
@@ -237,7 +237,8 @@
 }
 
 // ping sends a ping unless one is outstanding. It closes the connection if the
-// outstanding one is older than reconnectTimeout.
+// outstanding one is older than reconnectTimeout. It does not wait for the write,
+// which a peer that does not read delays for up to writeTimeout.
 func (l *link) ping(now snipeford.Instant) {
 	l.mu.Lock()
 	fc := l.conn
@@ -259,9 +260,11 @@
 	l.pingAt, l.pingSinceBoot = now, l.client.Timer.SinceBoot()
 	frame := Frame{Ping: &Ping{l.pingNumber}}
 	l.mu.Unlock()
-	if err := fc.send(frame); err != nil {
-		l.client.Log.Warn("cannot ping peer", err, "Peer", l.node)
-	}
+	go func() {
+		if err := fc.send(frame); err != nil {
+			l.client.Log.Warn("cannot ping peer", err, "Peer", l.node)
+		}
+	}()
 }
 
 // awaitsPong reports whether a ping is outstanding, or no pong has arrived yet.
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -61,7 +61,7 @@
 const acceptRetryDelay = 50 * time.Millisecond
 
 func (s *Server) serveConn(ctx context.Context, c net.Conn) {
-	fc := newFrameConn(c, s.Timer.Wall)
+	fc := newFrameConn(c, s.Timer)
 	stop := context.AfterFunc(ctx, fc.close)
 	defer stop()
 	defer fc.close()
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -198,7 +198,7 @@
 	chosen := estimates[:helpers+1]
 	primary := s.primary(req, chosen)
 	if primary < 0 {
-		return s.evaluateSplitMemory(req, chosen, w)
+		return s.evaluateSplitMemory(req, chosen)
 	}
 	chosen[0], chosen[primary] = chosen[primary], chosen[0]
 	return newPlacement(req, chosen, 0), s.totalCost(req, chosen), firstEventTime(chosen), true
@@ -312,7 +312,7 @@
 
 // evaluateSplitMemory evaluates a placement for a request that does not fit in
 // the memory of any one engine: each engine reserves an equal share.
-func (s *State) evaluateSplitMemory(req snipeford.PlacementRequest, chosen []estimate, w float64) (snipeford.Placement, float64, float64, bool) {
+func (s *State) evaluateSplitMemory(req snipeford.PlacementRequest, chosen []estimate) (snipeford.Placement, float64, float64, bool) {
 	if len(chosen) < 2 || s.fitsOneEngine(req) {
 		return snipeford.Placement{}, 0, 0, false
 	}
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -367,3 +367,23 @@
 		}
 	}
 }
+
+// TestNewHomeKnowsPrefillProgress guards against a new home that takes engines for
+// busy with prompts that they have read already.
+func TestNewHomeKnowsPrefillProgress(t *testing.T) {
+	expected := func(age time.Duration) time.Duration {
+		s := newState(1)
+		req := longRequest("old", 60_000)
+		s.AddPlaced(at(time.Minute), snipeford.PlacedCall{
+			Request: req, Age: age,
+			Placement: snipeford.Placement{RequestID: "old", Upstream: placing.Candidates(1)[0].ID, ExpectedFirstEvent: 600 * time.Millisecond},
+		})
+		next := shortRequest("next")
+		next.FirstEventTarget = 2 * time.Second
+		return placementOf(t, s.Ask(at(time.Minute), next), "next").ExpectedFirstEvent
+	}
+	fresh, half, done := expected(0), expected(300*time.Millisecond), expected(590*time.Millisecond)
+	if done > fresh-200*time.Millisecond || half <= done || half >= fresh {
+		t.Errorf("got the next first event after %v, %v and %v beside a prompt that is new, half and almost read, want less each time", fresh, half, done)
+	}
+}
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -17,11 +17,10 @@
 
 // job is a placed request.
 type job struct {
-	req          snipeford.PlacementRequest
-	placement    snipeford.Placement
-	start        snipeford.Instant
-	stage        stage
-	firstEventAt snipeford.Instant
+	req       snipeford.PlacementRequest
+	placement snipeford.Placement
+	start     snipeford.Instant
+	stage     stage
 	// expectedFirstEventAt is the predicted time of the first event.
 	expectedFirstEventAt snipeford.Instant
 	// partPrefill is the prefill time of each part of the prompt.
@@ -124,6 +123,16 @@
 	r.prefillQueue = slices.Insert(slices.Clone(r.prefillQueue), i, part)
 }
 
+// setPrefill changes the remaining time of a job's part in the prefill queue.
+func (r *replica) setPrefill(now snipeford.Instant, j *job, remaining float64) {
+	r.advancePrefill(now)
+	for i := range r.prefillQueue {
+		if r.prefillQueue[i].job == j {
+			r.prefillQueue[i].remaining = remaining
+		}
+	}
+}
+
 // removePrefill removes a job's part from the prefill queue.
 func (r *replica) removePrefill(now snipeford.Instant, j *job) {
 	r.advancePrefill(now)
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -91,6 +91,7 @@
 	}
 	j := s.commit(now, p.Request, p.Placement)
 	j.start = now.Add(-p.Age)
+	s.reducePrefill(now, j, p.Age)
 	if p.Streaming {
 		s.First(now, p.Request.RequestID, snipeford.EngineLoad{})
 	}
@@ -114,6 +115,23 @@
 	return j
 }
 
+// reducePrefill reduces the prefill parts of a job that was placed some time ago to
+// what its engines should still have to do.
+func (s *State) reducePrefill(now snipeford.Instant, j *job, age time.Duration) {
+	if age <= 0 {
+		return
+	}
+	remaining := max(0, j.partPrefill-ms(age))
+	if expected := j.placement.ExpectedFirstEvent; expected > 0 {
+		j.expectedFirstEventAt = j.start.Add(expected)
+		remaining = min(j.partPrefill, max(0, ms(expected-age)))
+	}
+	s.replica(j.placement.Upstream).setPrefill(now, j, remaining)
+	for _, id := range j.placement.Helpers {
+		s.replica(id).setPrefill(now, j, remaining)
+	}
+}
+
 func (s *State) replica(id snipeford.UpstreamID) *replica {
 	r, ok := s.replicas[id]
 	if !ok {
@@ -145,7 +163,7 @@
 		return
 	}
 	s.replica(j.placement.Upstream).recordLoad(now, load)
-	j.stage, j.firstEventAt = stageDecode, now
+	j.stage = stageDecode
 	took := now.Sub(j.start)
 	j.missedTarget = took > j.req.FirstEventTarget
 	primary := s.replica(j.placement.Upstream)
