Make the reducer's effects independent of map order; report unusable rows

An upstream row that can't be decoded removed its upstream without a trace in the log.

Change: the groups are kept sorted by name. The directory returns undecodable upstream rows with the others, and the follower logs them.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"strings"
@@ -76,16 +77,15 @@
 	Err error
 }
 
-// Apply applies a batch of rows of a collection and returns the operator and
-// member rows that it could not decode. Upstream rows without a usable upstream
-// are skipped.
+// Apply applies a batch of rows of a collection and returns the rows that it could
+// not decode.
 func (s *State) Apply(now snipeford.Instant, c snipeford.Collection, b snipeford.Batch, decoder snipeford.RowDecoder) []InvalidRow {
 	s.initMaps()
 	switch c {
 	case snipeford.OperatorRows:
 		return s.applyOperatorRows(b, decoder)
 	case snipeford.UpstreamRows:
-		s.applyUpstreams(now, b, decoder)
+		return s.applyUpstreams(now, b, decoder)
 	case snipeford.MemberRows:
 		return s.applyPeers(b)
 	}
@@ -149,7 +149,14 @@
 	s.plan = plan.New(r)
 }
 
-func (s *State) applyUpstreams(now snipeford.Instant, b snipeford.Batch, decoder snipeford.RowDecoder) {
+// errNoUpstream is the error of a row that does not describe an upstream.
+var errNoUpstream = errors.New("row describes no upstream")
+
+// applyUpstreams applies upstream rows. A row that cannot be decoded removes its
+// upstream at once, even around a store outage: outages make rows expire, but do not
+// change them.
+func (s *State) applyUpstreams(now snipeford.Instant, b snipeford.Batch, decoder snipeford.RowDecoder) []InvalidRow {
+	var invalid []InvalidRow
 	present := map[snipeford.UpstreamID]bool{}
 	for _, change := range b.Changes {
 		id := snipeford.UpstreamID(change.Key)
@@ -161,6 +168,7 @@
 		u, ok := decoder.Upstream(change.Key, change.Value)
 		if !ok {
 			delete(s.upstreams, id)
+			invalid = append(invalid, InvalidRow{change.Key, errNoUpstream})
 			continue
 		}
 		s.upstreams[id] = Upstream{Upstream: u, ColdUntil: now.Add(u.ColdTimeLeft)}
@@ -173,6 +181,7 @@
 			}
 		}
 	}
+	return invalid
 }
 
 // removeUpstream removes an upstream whose row is gone. Around a store outage
--- a/internal/control/reducer/fleet.go
+++ b/internal/control/reducer/fleet.go
@@ -21,10 +21,10 @@
 		s.ensureGroup(groupOf(u))
 	}
 	s.upstreams = next
-	for name, g := range s.groups {
-		g.memory = memory[name]
+	for _, g := range s.sortedGroups {
+		g.memory = memory[g.name]
 		if s.settings.Standalone && g.dispatcher == nil {
-			g.dispatcher = s.newDispatcher(name, 1)
+			g.dispatcher = s.newDispatcher(g.name, 1)
 		}
 		if g.dispatcher != nil {
 			s.refreshReplicas(now, g)
@@ -38,6 +38,8 @@
 	}
 	g := &group{name: name}
 	s.groups[name] = g
+	s.sortedGroups = append(s.sortedGroups, g)
+	sort.Slice(s.sortedGroups, func(i, j int) bool { return s.sortedGroups[i].name.String() < s.sortedGroups[j].name.String() })
 	list := append(s.groupsByModel[name.Model], g)
 	sort.Slice(list, func(i, j int) bool { return list[i].name.Domain < list[j].name.Domain })
 	s.groupsByModel[name.Model] = list
@@ -120,7 +122,7 @@
 	for name, a := range s.limiters {
 		a.SetRule(s.limitRule(name), a.Share(), now)
 	}
-	for _, g := range s.groups {
+	for _, g := range s.sortedGroups {
 		if g.dispatcher != nil {
 			s.refreshReplicas(now, g)
 		}
--- a/internal/control/reducer/homes.go
+++ b/internal/control/reducer/homes.go
@@ -51,7 +51,7 @@
 		return
 	}
 	remaining := s.remainingMembers()
-	for _, g := range s.groups {
+	for _, g := range s.sortedGroups {
 		target := home.OfGroup(g.name, remaining)
 		if g.dispatcher != nil {
 			s.transferHome(g, target)
@@ -171,7 +171,7 @@
 	s.leaving = true
 	s.next = schedule{}
 	others := s.remainingMembers()
-	for _, g := range s.groups {
+	for _, g := range s.sortedGroups {
 		if g.dispatcher != nil {
 			s.transferHome(g, home.OfGroup(g.name, others))
 		}
--- a/internal/control/reducer/membership.go
+++ b/internal/control/reducer/membership.go
@@ -185,12 +185,11 @@
 
 func (s *State) sortedHomes() []*group {
 	var out []*group
-	for _, g := range s.groups {
+	for _, g := range s.sortedGroups {
 		if g.dispatcher != nil {
 			out = append(out, g)
 		}
 	}
-	sort.Slice(out, func(i, j int) bool { return out[i].name.String() < out[j].name.String() })
 	return out
 }
 
--- a/internal/control/reducer/reducer_test.go
+++ b/internal/control/reducer/reducer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -255,3 +256,24 @@
 		t.Errorf("got replica %s again, want the other one", got)
 	}
 }
+
+// TestEffectsDependOnEventsAlone checks that two nodes with the same events have the
+// same effects in the same order, so that a trace can be replayed.
+func TestEffectsDependOnEventsAlone(t *testing.T) {
+	run := func() string {
+		var list []snipeford.Upstream
+		for i := range 12 {
+			list = append(list, snipeford.Upstream{ID: snipeford.UpstreamID(fmt.Sprint("e", i)), Kind: snipeford.KindEngine, Model: snipeford.Model(fmt.Sprint("m", i)), Memory: 100_000})
+		}
+		s := newStandalone(t, list...)
+		effects := slices.Clone(s.Apply(10*second, Ticked{}))
+		effects = append(effects, s.Apply(10*second+1, ConfigurationRead{configuration(9)})...)
+		return fmt.Sprintf("%+v", effects)
+	}
+	want := run()
+	for range 10 {
+		if got := run(); got != want {
+			t.Fatalf("got effects %s, want %s", got, want)
+		}
+	}
+}
--- a/internal/control/reducer/state.go
+++ b/internal/control/reducer/state.go
@@ -53,7 +53,10 @@
 	// upstreamListRead is set once the platform's VM list was read.
 	upstreamListRead bool
 	groups           map[snipeford.Group]*group
-	groupsByModel    map[snipeford.Model][]*group
+	// sortedGroups holds all groups, sorted by name, so that the order of effects
+	// depends on the events alone.
+	sortedGroups  []*group
+	groupsByModel map[snipeford.Model][]*group
 	// entryCalls holds the calls that entered at this node, and pending those
 	// of them that have no home yet.
 	entryCalls map[snipeford.CallID]*entryCall
@@ -195,7 +198,7 @@
 		s.tickHomes(now)
 	}
 	poll := due(&s.next.load, now, loadPollInterval)
-	for _, g := range s.groups {
+	for _, g := range s.sortedGroups {
 		if g.dispatcher == nil {
 			continue
 		}
