--- a/internal/control/reducer/state.go
+++ b/internal/control/reducer/state.go
@@ -4,7 +4,7 @@
 // in virtual time.
 //
 // A call passes entry.go (admission and choice of the group) and then, at the
-// group's home, admission.go (queueing), dispatch.go and claim.go (choice of the
+// group's home, admission.go (queueing), dispatch.go and reservation.go (choice of the
 // replicas and dispatch)
 // and attempt.go (end of an attempt). membership.go and homes.go decide which
 // node is the home of a group; membership.go also divides the organisations'
