Keep upstreams with missing rows only until two seconds after a store outage

A node that was fed counted the three seconds anew at each batch.

Change: the period belongs to the end of the outage, the first response after a failed call: until two seconds after it, missing rows may come back; a row removed later is gone at once. While the store is away again, nothing expires.

Tests: TestRowRemovedAfterOutage of directory and edge.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -15,15 +15,10 @@
 	"snipeford/internal/rule/plan"
 )
 
-const (
-	// reregisterGracePeriod is how long an upstream stays usable after its row
-	// went missing around a store outage. Live upstreams register again within
-	// two seconds after the store is back.
-	reregisterGracePeriod = 2 * time.Second
-	// storeFailureWindow is how long after a failed read a missing row is
-	// attributed to the store outage rather than to the upstream leaving.
-	storeFailureWindow = 3 * time.Second
-)
+// ReregisterPeriod is how long after the end of a store outage live upstreams whose
+// rows expired during the outage are registered again. An upstream whose row is still
+// missing after that is gone.
+const ReregisterPeriod = 2 * time.Second
 
 // Peer is a node, this one or another, as described by its own row in the store.
 type Peer struct {
@@ -43,9 +38,9 @@
 	snipeford.Upstream
 	// ColdUntil is the end of the upstream's cold period.
 	ColdUntil snipeford.Instant
-	// missingSince is when the row went missing around a store outage, or zero
+	// removeAt is when the upstream is removed because its row is missing, or zero
 	// while the row is present.
-	missingSince snipeford.Instant
+	removeAt snipeford.Instant
 }
 
 // View is an immutable snapshot of the directory for traffic goroutines.
@@ -62,13 +57,13 @@
 
 // State is the mutable directory. Its zero value is empty and ready to use.
 type State struct {
-	plan          *plan.Plan
-	outDomains    map[snipeford.FailureDomain]bool
-	upstreams     map[snipeford.UpstreamID]Upstream
-	peers         map[snipeford.NodeID]Peer
-	listed        bool
-	storeFailedAt snipeford.Instant
-	storeFailed   bool
+	plan       *plan.Plan
+	outDomains map[snipeford.FailureDomain]bool
+	upstreams  map[snipeford.UpstreamID]Upstream
+	peers      map[snipeford.NodeID]Peer
+	listed     bool
+	// keepMissingUntil is set by KeepMissing.
+	keepMissingUntil snipeford.Instant
 }
 
 // InvalidRow is a row that was skipped because it could not be decoded.
@@ -100,15 +95,10 @@
 	}
 }
 
-// RecordStoreFailure records that a read of the store failed at now.
-func (s *State) RecordStoreFailure(now snipeford.Instant) { s.storeFailed, s.storeFailedAt = true, now }
-
-// StoreFailedRecently reports whether the store failed within
-// storeFailureWindow. Rows that go missing then may have expired although their
-// upstreams still run.
-func (s *State) StoreFailedRecently(now snipeford.Instant) bool {
-	return s.storeFailed && now.Sub(s.storeFailedAt) < storeFailureWindow
-}
+// KeepMissing makes later batches keep the upstreams whose rows they remove, until
+// the given instant. It is the end of ReregisterPeriod after a store outage, in which
+// rows of live upstreams expired, or an instant that has passed.
+func (s *State) KeepMissing(until snipeford.Instant) { s.keepMissingUntil = until }
 
 func (s *State) applyOperatorRows(b snipeford.Batch, decoder snipeford.RowDecoder) []InvalidRow {
 	var invalid []InvalidRow
@@ -184,20 +174,19 @@
 	return invalid
 }
 
-// removeUpstream removes an upstream whose row is gone. Around a store outage
-// the rows of live upstreams expire, too, so these are kept for
-// reregisterGracePeriod.
+// removeUpstream removes an upstream whose row is gone, unless it is to be kept, see
+// KeepMissing.
 func (s *State) removeUpstream(now snipeford.Instant, id snipeford.UpstreamID) {
 	u, ok := s.upstreams[id]
 	if !ok {
 		return
 	}
-	if !s.StoreFailedRecently(now) || u.Leaving {
+	if now >= s.keepMissingUntil || u.Leaving {
 		delete(s.upstreams, id)
 		return
 	}
-	if u.missingSince == 0 {
-		u.missingSince = now
+	if u.removeAt == 0 {
+		u.removeAt = s.keepMissingUntil
 		s.upstreams[id] = u
 	}
 }
@@ -223,12 +212,12 @@
 	return invalid
 }
 
-// Expire removes upstreams whose rows are still missing after
-// reregisterGracePeriod and reports whether it removed any.
+// Expire removes upstreams whose rows are still missing at the end of
+// ReregisterPeriod and reports whether it removed any.
 func (s *State) Expire(now snipeford.Instant) bool {
 	expired := false
 	for id, u := range s.upstreams {
-		if u.missingSince > 0 && now.Sub(u.missingSince) >= reregisterGracePeriod {
+		if u.removeAt > 0 && now >= u.removeAt {
 			delete(s.upstreams, id)
 			expired = true
 		}
--- a/internal/control/directory/directory_test.go
+++ b/internal/control/directory/directory_test.go
@@ -119,7 +119,7 @@
 func TestRowsExpiredDuringStoreOutage(t *testing.T) {
 	s := &directory.State{}
 	s.Apply(0, snipeford.UpstreamRows, snipeford.Batch{Snapshot: true, Changes: []snipeford.Change{change(t, "u1", upstream("a")), change(t, "u2", upstream("a"))}}, jsonDecoder{})
-	s.RecordStoreFailure(seconds(5))
+	s.KeepMissing(seconds(8))
 	s.Apply(seconds(6), snipeford.UpstreamRows, snipeford.Batch{Snapshot: true}, jsonDecoder{})
 	assertUsable(t, s, 2)
 	s.Apply(seconds(7), snipeford.UpstreamRows, snipeford.Batch{Changes: []snipeford.Change{change(t, "u1", upstream("a"))}}, jsonDecoder{})
@@ -132,6 +132,17 @@
 	assertUsable(t, s, 1)
 }
 
+// TestRowRemovedAfterOutage guards against an upstream that is kept as usable although
+// its row was removed on purpose, after the store outage.
+func TestRowRemovedAfterOutage(t *testing.T) {
+	s := &directory.State{}
+	s.Apply(0, snipeford.UpstreamRows, snipeford.Batch{Snapshot: true, Changes: []snipeford.Change{change(t, "u1", upstream("a")), change(t, "u2", upstream("a"))}}, jsonDecoder{})
+	s.KeepMissing(seconds(4))
+	removal := snipeford.Batch{Changes: []snipeford.Change{{Key: "u1", Removed: true}}}
+	s.Apply(seconds(4), snipeford.UpstreamRows, removal, jsonDecoder{})
+	assertUsable(t, s, 1)
+}
+
 func TestPeers(t *testing.T) {
 	s := &directory.State{}
 	invalid := s.Apply(0, snipeford.MemberRows, snipeford.Batch{Snapshot: true, Changes: []snipeford.Change{
--- a/internal/experiment/placing/load.go
+++ b/internal/experiment/placing/load.go
@@ -24,6 +24,23 @@
 	}
 }
 
+// grownProfile is the profile of the engines in the grown deployments.
+var grownProfile = func() snipeford.EngineProfile {
+	p := Profile
+	p.Slots, p.DecodeStepsPerPass = 12, 57
+	return p
+}()
+
+// grownClasses returns the request classes of the grown Khovsgol deployment with
+// their rates multiplied by scale.
+func grownClasses(scale float64) []Class {
+	return []Class{
+		{Name: "reply", PerSecond: 126 * scale, MeanPrompt: 5_000, PromptSigma: 0.9, MaxPrompt: 23_800, MeanEvents: 32, FirstEventTarget: 300 * time.Millisecond, EventGapTarget: 250 * time.Millisecond, Timeout: 10 * time.Second, TimelyCredit: 1.3, LateCredit: 0.33},
+		{Name: "review", PerSecond: 7.97 * scale, MeanPrompt: 45_000, PromptSigma: 0.5, MaxPrompt: 110_000, MeanEvents: 19, FirstEventTarget: 1500 * time.Millisecond, EventGapTarget: 600 * time.Millisecond, Timeout: 10 * time.Second, TimelyCredit: 3.5, LateCredit: 0.88},
+		{Name: "dossier", PerSecond: 2.62 * scale, MeanPrompt: 220_000, PromptSigma: 0.55, MaxPrompt: 700_000, MeanEvents: 16, FirstEventTarget: 4 * time.Second, EventGapTarget: time.Second, Timeout: 15 * time.Second, TimelyCredit: 29, LateCredit: 7.4},
+	}
+}
+
 // Rate factors of bursts of long prompts and of hundreds of short ones. The factors
 // are in the order of classes: reply, review, dossier.
 var (
@@ -36,12 +53,19 @@
 type Deployment struct {
 	Name    string
 	Engines int
-	// RateScale is the request rate relative to Quindio.
+	// RateScale is the request rate relative to that of Classes(1).
 	RateScale float64
+	// Classes returns the request classes, with their rates multiplied by scale.
+	Classes func(scale float64) []Class
+	Profile snipeford.EngineProfile
 }
 
 // Deployments lists the production deployments.
-var Deployments = []Deployment{{"Quindio", 18, 1}, {"Uwimana", 23, 1.28}}
+var Deployments = []Deployment{
+	{"Quindio", 18, 1, classes, Profile},
+	{"Uwimana", 23, 1.28, classes, Profile},
+	{"KhovsgolGrown", 78, 1.1, grownClasses, grownProfile},
+}
 
 // NamedScenario is a scenario with the name that tables print.
 type NamedScenario struct {
@@ -62,7 +86,7 @@
 }
 
 func (d Deployment) alternating(scale float64, burst time.Duration) Scenario {
-	scenario := Scenario{Classes: classes(scale * d.RateScale), Duration: 60 * time.Second, Engines: d.Engines, Profile: Profile}
+	scenario := Scenario{Classes: d.Classes(scale * d.RateScale), Duration: 60 * time.Second, Engines: d.Engines, Profile: d.Profile}
 	for i := 0; time.Duration(i)*burst < scenario.Duration; i++ {
 		from := time.Duration(i) * burst
 		factors := longBurst
@@ -75,7 +99,7 @@
 }
 
 func (d Deployment) singleBurst(engines int, factors []float64) Scenario {
-	scenario := Scenario{Classes: classes(d.RateScale), Duration: 20 * time.Second, Engines: engines, Profile: Profile}
+	scenario := Scenario{Classes: d.Classes(d.RateScale), Duration: 20 * time.Second, Engines: engines, Profile: d.Profile}
 	scenario.Bursts = []Burst{{0, scenario.Duration, factors}}
 	return scenario
 }
@@ -87,3 +111,8 @@
 // Overloaded is a burst of short prompts on fewer engines than it needs, as
 // after the loss of a failure domain.
 func Overloaded(engines int) Scenario { return Deployments[0].singleBurst(engines, shortBurst) }
+
+// OverloadedSlots is the same on the engines of the grown Khovsgol deployment that
+// are left without one of its three failure domains and a scale-in. Their slots are
+// used up before their prefill capacity.
+func OverloadedSlots() Scenario { return Deployments[2].singleBurst(45, shortBurst) }
--- a/internal/experiment/placing/placing_test.go
+++ b/internal/experiment/placing/placing_test.go
@@ -97,3 +97,11 @@
 	scenario := placing.Overloaded(11)
 	assertAtLeast(t, meanShare(t, scenario, policyNamed(t, "Prediction")), meanShare(t, scenario, policyNamed(t, "LeastOutstanding")))
 }
+
+// TestOverloadedSlots simulates a burst of short prompts that need more slots than
+// the engines have. The slots have to go to requests that are timely then.
+func TestOverloadedSlots(t *testing.T) {
+	scenario := placing.OverloadedSlots()
+	got := meanShare(t, scenario, policyNamed(t, "Prediction"))
+	assertAtLeast(t, got, meanShare(t, scenario, policyNamed(t, "LeastOutstanding")))
+}
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -46,9 +46,9 @@
 type Rows struct {
 	Collection snipeford.Collection
 	Batch      snipeford.Batch
-	// StoreFailedRecently is set if the store recently failed to respond to the
-	// sender. Missing rows may then have expired although their owners are alive.
-	StoreFailedRecently bool `json:"Outage,omitempty"`
+	// KeepMissing is how much longer, in nanoseconds, upstreams whose rows are missing
+	// are used: rows of live upstreams expired in an outage of the store.
+	KeepMissing time.Duration `json:",omitempty"`
 }
 
 // Hello is the first frame on a connection.
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -39,7 +39,7 @@
 	feederCheckInterval = 100 * time.Millisecond
 	// expireInterval is how often upstreams whose rows are still missing are
 	// removed.
-	expireInterval = 250 * time.Millisecond
+	expireInterval = 100 * time.Millisecond
 )
 
 // follower keeps the directory up to date with the store or a feeder, and passes
@@ -63,6 +63,10 @@
 
 	mu    sync.Mutex
 	state directory.State
+	// outage is set from a failed call to the store until the next response, and
+	// outageEndedAt is when that arrived.
+	outage        bool
+	outageEndedAt snipeford.Instant
 	// collections holds the encoded rows of each collection, for other nodes.
 	collections      map[snipeford.Collection]*rowSet
 	subscribers      map[int]func(grant.Rows)
@@ -189,7 +193,7 @@
 
 func (f *follower) recordFailure(c snipeford.Collection, err error, wasFailing bool) {
 	f.mu.Lock()
-	f.state.RecordStoreFailure(f.timer.Now())
+	f.outage = true
 	f.mu.Unlock()
 	if !wasFailing {
 		f.log.Warn("store does not answer", err, "Collection", c)
@@ -218,29 +222,43 @@
 // applyStoreRows applies a batch from the store. It publishes the rows before it
 // records the confirmation, so that no request sees an old view as confirmed.
 func (f *follower) applyStoreRows(c snipeford.Collection, b snipeford.Batch, sent snipeford.Instant) {
-	f.applyBatch(c, b)
+	f.applyBatch(c, b, f.reregisterEnd())
 	if c == snipeford.OperatorRows {
 		f.tracker.Confirm(sent, b.StoreTime)
 	}
 }
 
+// reregisterEnd returns until when a response of the store may lack rows of upstreams
+// that live.
+func (f *follower) reregisterEnd() snipeford.Instant {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.outage {
+		f.outage, f.outageEndedAt = false, f.timer.Now()
+	}
+	if f.outageEndedAt == 0 {
+		return 0
+	}
+	return f.outageEndedAt.Add(directory.ReregisterPeriod)
+}
+
 // applyPeerRows applies a batch that another node has applied. It ignores rows
 // that this node already has, so that rows never loop between nodes.
 func (f *follower) applyPeerRows(r grant.Rows) {
 	if version, known := f.version(r.Collection); known && r.Batch.Version <= version {
 		return
 	}
-	if r.StoreFailedRecently {
-		f.mu.Lock()
-		f.state.RecordStoreFailure(f.timer.Now())
-		f.mu.Unlock()
+	keepMissingUntil := snipeford.Instant(0)
+	if r.KeepMissing > 0 {
+		keepMissingUntil = f.timer.Now().Add(r.KeepMissing)
 	}
-	f.applyBatch(r.Collection, r.Batch)
+	f.applyBatch(r.Collection, r.Batch, keepMissingUntil)
 }
 
 // applyBatch applies a batch and sends it to the subscribers, unless this node
-// already has newer rows.
-func (f *follower) applyBatch(c snipeford.Collection, b snipeford.Batch) {
+// already has newer rows. Upstreams whose rows it removes are kept until
+// keepMissingUntil.
+func (f *follower) applyBatch(c snipeford.Collection, b snipeford.Batch, keepMissingUntil snipeford.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rows := f.rowsOf(c)
@@ -252,12 +270,13 @@
 		return
 	}
 	rows.update(b)
+	f.state.KeepMissing(keepMissingUntil)
 	for _, invalid := range f.state.Apply(f.timer.Now(), c, b, f.decoder) {
 		f.log.Warn("cannot decode row", invalid.Err, "Collection", c, "Key", invalid.Key)
 	}
 	f.publish()
 	for _, push := range f.subscribers {
-		push(grant.Rows{Collection: c, Batch: b, StoreFailedRecently: f.state.StoreFailedRecently(f.timer.Now())})
+		push(grant.Rows{Collection: c, Batch: b, KeepMissing: max(0, keepMissingUntil.Sub(f.timer.Now()))})
 	}
 }
 
@@ -281,7 +300,7 @@
 	defer f.mu.Unlock()
 	for c, r := range f.collections {
 		if r.loaded {
-			push(grant.Rows{Collection: c, Batch: r.batch()})
+			push(grant.Rows{Collection: c, Batch: r.batch(), KeepMissing: f.keepMissing()})
 		}
 	}
 	if f.subscribers == nil {
@@ -297,6 +316,15 @@
 	}
 }
 
+// keepMissing returns how much longer the node keeps upstreams with missing rows
+// after an outage of the store. The caller holds mu.
+func (f *follower) keepMissing() time.Duration {
+	if f.outageEndedAt == 0 {
+		return 0
+	}
+	return max(0, f.outageEndedAt.Add(directory.ReregisterPeriod).Sub(f.timer.Now()))
+}
+
 func (r *rowSet) batch() snipeford.Batch {
 	b := snipeford.Batch{Snapshot: true, Version: r.version}
 	for key, value := range r.values {
@@ -329,7 +357,8 @@
 	}
 }
 
-// expire removes upstreams whose rows are still missing after a store outage.
+// expire removes upstreams whose rows are still missing after a store outage. While
+// the store is away again, they cannot register.
 func (f *follower) expire(ctx context.Context) error {
 	ticks := f.timer.Every(ctx, expireInterval)
 	for {
@@ -337,8 +366,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-ticks:
+			fed := f.hasFreshRows != nil && f.hasFreshRows()
 			f.mu.Lock()
-			if f.state.Expire(now) {
+			if (fed || !f.outage) && f.state.Expire(now) {
 				f.publish()
 			}
 			f.mu.Unlock()
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -200,7 +201,7 @@
 	if got := other.current().Plan.Version; got != 2 {
 		t.Errorf("got version %d from the present rows, want 2", got)
 	}
-	f.applyBatch(snipeford.OperatorRows, snipeford.Batch{Version: 9, Changes: routingRow(3)})
+	f.applyBatch(snipeford.OperatorRows, snipeford.Batch{Version: 9, Changes: routingRow(3)}, 0)
 	if got := other.current().Plan.Version; got != 3 {
 		t.Errorf("got version %d from a change, want 3", got)
 	}
@@ -215,14 +216,14 @@
 		pushed := 0
 		defer other.subscribe(func(grant.Rows) { pushed++ })()
 		pushed = 0
-		f.applyBatch(snipeford.OperatorRows, snipeford.Batch{Version: 9, Changes: routingRow(3)})
+		f.applyBatch(snipeford.OperatorRows, snipeford.Batch{Version: 9, Changes: routingRow(3)}, 0)
 		if pushed != 0 {
 			t.Errorf("got %d pushes of known rows, want none", pushed)
 		}
 	})
 	t.Run("no rows after the subscription is cancelled", func(t *testing.T) {
 		cancel()
-		f.applyBatch(snipeford.OperatorRows, snipeford.Batch{Version: 10, Changes: routingRow(4)})
+		f.applyBatch(snipeford.OperatorRows, snipeford.Batch{Version: 10, Changes: routingRow(4)}, 0)
 		if got := other.current().Plan.Version; got != 3 {
 			t.Errorf("got version %d, want 3", got)
 		}
@@ -235,11 +236,11 @@
 func TestExpiredRowsFromFeeder(t *testing.T) {
 	row := []snipeford.Change{{Key: "u", Value: []byte(`{"Service":"s"}`)}}
 	f, _ := runFollower(t, response{batch: snipeford.Batch{Snapshot: true, Version: 5, Changes: routingRow(1)}})
-	f.applyBatch(snipeford.UpstreamRows, snipeford.Batch{Snapshot: true, Version: 6, Changes: row})
+	f.applyBatch(snipeford.UpstreamRows, snipeford.Batch{Snapshot: true, Version: 6, Changes: row}, 0)
 	other := &follower{decoder: jsonDecoder{}, timer: f.timer, tracker: &freshness.Tracker{}, log: f.log, onChange: func(*directory.View) {}}
 	defer f.subscribe(other.applyPeerRows)()
 	f.recordFailure(snipeford.UpstreamRows, snipeford.ErrUnavailable, false)
-	f.applyBatch(snipeford.UpstreamRows, snipeford.Batch{Version: 7, Changes: []snipeford.Change{{Key: "u", Removed: true}}})
+	f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Version: 7, Changes: []snipeford.Change{{Key: "u", Removed: true}}}, f.timer.SinceBoot())
 	for name, one := range map[string]*follower{"feeder": f, "fed": other} {
 		if got := len(one.current().Usable["s"]); got != 1 {
 			t.Errorf("%s: got %d usable upstreams after the outage, want 1", name, got)
@@ -325,3 +326,43 @@
 		t.Errorf("got timeouts %v, want %v", s.timeouts, want)
 	}
 }
+
+// TestRowRemovedAfterOutage guards against a replica that leaves without notice some
+// seconds after an outage of the store, and that is still used for as long as one
+// whose row expired in the outage. Its requests have to stop within two seconds.
+func TestRowRemovedAfterOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFollower(&scriptedFeed{})
+		f.timer.Now()
+		time.Sleep(time.Second)
+		fed := newFollower(&scriptedFeed{})
+		fed.timer = f.timer
+		defer f.subscribe(fed.applyPeerRows)()
+		row := []snipeford.Change{{Key: "u", Value: []byte(`{"Service":"s"}`)}}
+		f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Snapshot: true, Version: 1, Changes: row}, 0)
+		f.recordFailure(snipeford.OperatorRows, snipeford.ErrUnavailable, false)
+		time.Sleep(time.Second)
+		f.applyStoreRows(snipeford.OperatorRows, snipeford.Batch{Version: 2}, 0)
+		time.Sleep(1900 * time.Millisecond)
+		f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Version: 3, Changes: []snipeford.Change{{Key: "u", Removed: true}}}, 0)
+		assertUsable(t, 1, f, fed)
+		time.Sleep(100 * time.Millisecond)
+		for _, one := range []*follower{f, fed} {
+			if !one.state.Expire(one.timer.Now()) {
+				t.Error("got an upstream that is still kept two seconds after the outage, want it removed")
+			}
+		}
+		f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Version: 4, Changes: row}, 0)
+		f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Version: 5, Changes: []snipeford.Change{{Key: "u", Removed: true}}}, 0)
+		assertUsable(t, 0, f, fed)
+	})
+}
+
+func assertUsable(t *testing.T, want int, followers ...*follower) {
+	t.Helper()
+	for i, f := range followers {
+		if got := len(f.current().Usable["s"]); got != want {
+			t.Errorf("follower %d: got %d usable upstreams, want %d", i, got, want)
+		}
+	}
+}
