Refuse short prompts that wait in vain, and avoid engines that lose answers

Change: - short prompts that can be in time go first, the newest before the others; a queued request counts as late from a probability of 0.2 on; - a late short prompt is refused once more wait before it than the queue placed lately in the time that it has left; its caller is asked to return as late as it accepts, since others return into the same overload; - each engine's share of failed requests, over some seconds, adds to its cost.

Refusing at once is kept, since a caller is better off knowing.

--- a/internal/experiment/placing/load.go
+++ b/internal/experiment/placing/load.go
@@ -46,6 +46,7 @@
 var (
 	longBurst  = []float64{0.33, 1.3, 2.8}
 	shortBurst = []float64{2.45, 0.5, 0.05}
+	afterBurst = []float64{1, 0.5, 0.3}
 )
 
 // Deployment is a production deployment. Its engine count differs from that of
@@ -112,7 +113,12 @@
 // after the loss of a failure domain.
 func Overloaded(engines int) Scenario { return Deployments[0].singleBurst(engines, shortBurst) }
 
-// OverloadedSlots is the same on the engines of the grown Khovsgol deployment that
-// are left without one of its three failure domains and a scale-in. Their slots are
-// used up before their prefill capacity.
-func OverloadedSlots() Scenario { return Deployments[2].singleBurst(45, shortBurst) }
+// OverloadedSlots is a burst of ten seconds on the engines of the grown Khovsgol
+// deployment that are left without one of its three failure domains and a scale-in.
+// Their slots are used up before their prefill capacity.
+func OverloadedSlots() Scenario {
+	scenario := Deployments[2].singleBurst(45, shortBurst)
+	scenario.Bursts[0].To = 10 * time.Second
+	scenario.Bursts = append(scenario.Bursts, Burst{10 * time.Second, scenario.Duration, afterBurst})
+	return scenario
+}
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -42,6 +42,9 @@
 	abandonedStreamCost = 1
 	// crossDomainCost is the cost of an engine in another failure domain.
 	crossDomainCost = 0.004
+	// failedAttemptCost is the cost of a failed attempt relative to a late response:
+	// the prompt has to be prefilled again, and attempts are limited.
+	failedAttemptCost = 1
 	// veryLongPrefillMs is the prefill time, in milliseconds, above which a prompt
 	// gets as few engines as can serve it in time: with more, it would delay all
 	// other requests.
@@ -215,7 +218,8 @@
 	// helper jobs.
 	prefillBacklog, helperBacklog float64
 	// slotWait is the wait for a slot, and engineCost the cost of using an engine
-	// that is dedicated to other requests, cold, or in another failure domain.
+	// that is dedicated to other requests, cold, unreliable, or in another failure
+	// domain.
 	slotWait, engineCost float64
 }
 
@@ -239,6 +243,7 @@
 	if engine.domain != req.Domain {
 		base.engineCost += crossDomainCost
 	}
+	base.engineCost += failedAttemptCost * weight(req.Prompt) * engine.reliability.failureShare(now)
 	return base
 }
 
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -31,6 +31,11 @@
 	// maxLateProbability is the probability of being late up to which a placement
 	// is accepted at once.
 	maxLateProbability = 0.4
+	// maxQueuedLateProbability is the probability of being late up to which a queued
+	// request is served before the late ones. It is lower than maxLateProbability:
+	// under overload, requests that are barely in time would get all slots, and half
+	// of them would be late.
+	maxQueuedLateProbability = 0.2
 	// maxAbandonProbability is the probability that the caller disconnects before
 	// the first event, above which a request stays queued: an engine may become
 	// free.
@@ -61,8 +66,12 @@
 	arrival snipeford.Instant
 	// prefillTime is the time to prefill the prompt on one engine.
 	prefillTime float64
+	// late is set if the request will probably miss its target, as of the last sort.
+	late bool
 }
 
+func (q *queued) short() bool { return q.prefillTime <= shortPrefillMs }
+
 // asOf returns the request with its times reduced by the time spent in the queue.
 func (q *queued) asOf(now snipeford.Instant) snipeford.PlacementRequest {
 	req := q.req
@@ -82,8 +91,14 @@
 	s.decayLongLoad(now)
 	s.updateDedicatedEngines()
 	if p, ok := s.place(now, q, req); ok {
+		if q.short() {
+			s.lateShort.record(now, false)
+		}
 		return []snipeford.Placement{p}
 	}
+	if len(s.queued) == 0 {
+		s.lateShort.queueEmpty(now)
+	}
 	s.queued = append(s.queued, q)
 	return nil
 }
@@ -100,23 +115,31 @@
 	s.updateDedicatedEngines()
 	s.sortQueue(now)
 	var out []snipeford.Placement
-	unplaced := 0
+	unplaced, waiting := 0, 0
 	s.queued = slices.DeleteFunc(s.queued, func(q *queued) bool {
 		req := q.asOf(now)
 		if s.unservable(req) {
 			out = append(out, s.refusal(req))
 			return true
 		}
-		if unplaced >= maxUnplacedPerScan {
-			return false
+		if s.hopeless(now, q, req, waiting) {
+			out = append(out, refusalUnderOverload(req))
+			return true
 		}
-		p, ok := s.place(now, q, req)
-		if !ok {
+		if unplaced < maxUnplacedPerScan {
+			if p, ok := s.place(now, q, req); ok {
+				if q.short() {
+					s.lateShort.record(now, q.late)
+				}
+				out = append(out, p)
+				return true
+			}
 			unplaced++
-			return false
 		}
-		out = append(out, p)
-		return true
+		if q.late && q.short() {
+			waiting++
+		}
+		return false
 	})
 	if len(out) == 0 {
 		s.nextQueueScan = now.Add(queueScanInterval)
@@ -128,6 +151,12 @@
 	return snipeford.Placement{RequestID: req.RequestID, EntryNode: req.EntryNode, Refused: true, RetryAfter: s.retryAfter(req)}
 }
 
+// refusalUnderOverload asks the caller to retry as late as it accepts: callers that
+// retry sooner return into the same overload, where they take the place of others.
+func refusalUnderOverload(req snipeford.PlacementRequest) snipeford.Placement {
+	return snipeford.Placement{RequestID: req.RequestID, EntryNode: req.EntryNode, Refused: true, RetryAfter: req.TimeLeft / retryAfterDivisor}
+}
+
 // unservable reports whether a request has to be refused: no engines can serve it
 // in time, or its caller is about to disconnect.
 func (s *State) unservable(req snipeford.PlacementRequest) bool {
@@ -138,6 +167,16 @@
 	return s.profile.prefillTime(req.Prompt)/float64(s.maxEngines(req)) > ms(left)
 }
 
+// hopeless reports whether a late short prompt will not get its turn before its
+// caller disconnects: more of them wait before it than are placed in that time.
+func (s *State) hopeless(now snipeford.Instant, q *queued, req snipeford.PlacementRequest, waitingBefore int) bool {
+	if !q.late || !q.short() {
+		return false
+	}
+	left := firstEventTimeLeft(req) - minFirstEventTimeLeft
+	return float64(waitingBefore) > s.lateShort.perSecond(now)*left.Seconds()
+}
+
 // firstEventTimeLeft returns how long the caller still waits for the first event.
 func firstEventTimeLeft(req snipeford.PlacementRequest) time.Duration {
 	return min(req.TimeLeft, req.FirstEventTimeout)
@@ -161,29 +200,41 @@
 	return min(max(minRetryAfter, 2*backlog), req.TimeLeft/retryAfterDivisor)
 }
 
-// sortQueue sorts the queue by priority. Within a priority, requests that can still
-// meet their target come first, by the time left for it, and late ones follow, by
-// their prefill time.
+// sortQueue sorts the queue by priority. Within a priority, short prompts that can
+// still meet their target come first, the newest before the others: when there are
+// too many, the older ones are almost late. Long ones that can meet their target
+// follow, by the time left for it, and then the late ones, by their prefill time.
 func (s *State) sortQueue(now snipeford.Instant) {
 	passTime := s.meanPassTime()
-	key := func(q *queued) (float64, float64) {
-		slack := ms(q.arrival.Add(q.req.FirstEventTarget).Sub(now))
+	for _, q := range s.queued {
 		engines := 1.0
-		if q.prefillTime > shortPrefillMs {
+		if !q.short() {
 			engines = float64(max(1, len(s.candidates)-s.dedicatedEngines))
 		}
-		if callerRoundTripMs+q.prefillTime/engines+passesToFirstEvent*passTime > slack {
-			return 1, q.prefillTime
+		firstEvent := callerRoundTripMs + q.prefillTime/engines + passesToFirstEvent*passTime
+		q.late = lateProbability(firstEvent, q.slack(now)) > maxQueuedLateProbability
+	}
+	key := func(q *queued) (int, float64) {
+		switch {
+		case q.late:
+			return 2, q.prefillTime
+		case q.short():
+			return 0, -q.slack(now)
 		}
-		return 0, slack
+		return 1, q.slack(now)
 	}
 	slices.SortStableFunc(s.queued, func(a, b *queued) int {
-		aLate, aKey := key(a)
-		bLate, bKey := key(b)
-		return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), cmp.Compare(aLate, bLate), cmp.Compare(aKey, bKey))
+		aRank, aKey := key(a)
+		bRank, bKey := key(b)
+		return cmp.Or(cmp.Compare(a.req.Priority, b.req.Priority), cmp.Compare(aRank, bRank), cmp.Compare(aKey, bKey))
 	})
 }
 
+// slack returns the time left, in milliseconds, until the target of the first event.
+func (q *queued) slack(now snipeford.Instant) float64 {
+	return ms(q.arrival.Add(q.req.FirstEventTarget).Sub(now))
+}
+
 // meanPassTime returns the mean time of a pass that prefills nothing, over all
 // engines.
 func (s *State) meanPassTime() float64 {
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -387,3 +387,95 @@
 		t.Errorf("got the next first event after %v, %v and %v beside a prompt that is new, half and almost read, want less each time", fresh, half, done)
 	}
 }
+
+// TestEngineThatLosesAnswers simulates two of six engines that lose every second
+// response and complete the others. They must not get the few attempts of a request
+// while other engines have room.
+func TestEngineThatLosesAnswers(t *testing.T) {
+	s := newState(6)
+	lossy := map[snipeford.UpstreamID]int{"e1": 0, "e4": 0}
+	lost, total := 0, 0
+	for round := range 20 {
+		now := at(time.Duration(round) * time.Second)
+		var ids []snipeford.RequestID
+		engines := map[snipeford.RequestID]snipeford.UpstreamID{}
+		for i := range 12 {
+			id := snipeford.RequestID("r" + strconv.Itoa(round) + "-" + strconv.Itoa(i))
+			engines[id] = placementOf(t, s.Ask(now, shortRequest(string(id))), id).Upstream
+			ids = append(ids, id)
+		}
+		for _, id := range ids {
+			total++
+			if _, ok := lossy[engines[id]]; ok {
+				lossy[engines[id]]++
+				if lossy[engines[id]]%2 == 0 {
+					lost++
+					s.End(now.Add(time.Millisecond), id, true, "")
+					continue
+				}
+			}
+			s.First(now.Add(100*time.Millisecond), id, snipeford.EngineLoad{})
+			s.End(now.Add(400*time.Millisecond), id, false, "")
+		}
+	}
+	if lost > total/20 {
+		t.Errorf("got %d of %d responses lost, want at most one in twenty", lost, total)
+	}
+}
+
+// TestRequestsThatWaitInVain guards against short prompts that wait until their
+// callers disconnect, although many more of them wait than get a slot in that time.
+func TestRequestsThatWaitInVain(t *testing.T) {
+	s := newState(2)
+	slots := 2 * placing.Profile.Slots
+	for i := range slots {
+		id := "running" + strconv.Itoa(i)
+		s.Ask(0, shortRequest(id))
+		s.First(0, snipeford.RequestID(id), snipeford.EngineLoad{})
+	}
+	for i := range 100 {
+		s.Ask(at(time.Duration(i)*time.Millisecond), shortRequest("waits"+strconv.Itoa(i)))
+	}
+	refused := 0
+	for now := 100 * time.Millisecond; now <= 600*time.Millisecond; now += 25 * time.Millisecond {
+		for _, p := range s.Next(at(now)) {
+			if !p.Refused {
+				t.Fatalf("got %+v, want no placement without a free slot", p)
+			}
+			if want := 3 * time.Second; p.RetryAfter < want {
+				t.Errorf("got a retry after %v, want at least %v: the overload lasts", p.RetryAfter, want)
+			}
+			refused++
+		}
+	}
+	if refused < 50 {
+		t.Errorf("got %d of 100 requests refused after 600 ms, twice their target, want most of them", refused)
+	}
+	t.Run("those that get a slot in time keep waiting", func(t *testing.T) {
+		s := newState(2)
+		for i := range slots {
+			id := "running" + strconv.Itoa(i)
+			s.Ask(0, shortRequest(id))
+			s.First(0, snipeford.RequestID(id), snipeford.EngineLoad{})
+		}
+		for i := range 10 {
+			s.Ask(0, shortRequest("waits"+strconv.Itoa(i)))
+		}
+		s.Next(at(400 * time.Millisecond))
+		for i := range 10 {
+			s.End(at(500*time.Millisecond), snipeford.RequestID("running"+strconv.Itoa(i)), false, "")
+		}
+		placed := 0
+		for now := 500 * time.Millisecond; now <= time.Second; now += 25 * time.Millisecond {
+			for _, p := range s.Next(at(now)) {
+				if p.Refused {
+					t.Errorf("got %+v, want a placement", p)
+				}
+				placed++
+			}
+		}
+		if placed == 0 {
+			t.Error("got no placement of the queued requests, want some in the free slots")
+		}
+	})
+}
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -50,6 +50,7 @@
 	// failures. A suspect engine gets requests only if no other engine is usable.
 	suspectUntil snipeford.Instant
 	failures     int
+	reliability  reliability
 	// untracked is the number of requests that the engine had at untrackedAt
 	// beyond those tracked here. They come from nodes that could not report them.
 	untracked   int
@@ -216,6 +217,7 @@
 	period := min(initialSuspectTime<<min(r.failures, 10), maxSuspectTime)
 	r.failures++
 	r.suspectUntil = now.Add(period)
+	r.reliability.record(now, true)
 }
 
 // recordSuccess clears the suspect state and the failure count.
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -24,6 +24,8 @@
 	// gap-sensitive requests.
 	dedicatedEngines int
 	queued           []*queued
+	// lateShort forecasts the placements of late short prompts in the queue.
+	lateShort queueForecast
 	// nextQueueScan is when Next evaluates the queued requests again.
 	nextQueueScan snipeford.Instant
 }
@@ -214,6 +216,7 @@
 	}
 	if j.stage == stageDecode {
 		engine.recordSuccess()
+		engine.reliability.record(now, false)
 	}
 }
 
