Keep the home of a service when connections between nodes are reset

By the logs, 33 nodes then used the home, 22 and 12 two standbys, and 9 themselves, each without knowledge of the others' requests; 60 requests that had waited in the home's queue were placed by their entry nodes at once. The home still had them queued and placed them a second time: the first entry of such a request stayed on its engine for good, since its end removes only the latest one, so that the home took engines for fuller than they were until it was restarted.

Change: a connection that lasted a second is reopened without delay; a request whose connection to the home breaks is sent to the home again if the connection is back within 40 ms; a request that is asked for again, or that its entry node reports as placed, replaces its earlier entry, placed or queued.

Tests that fail before: TestResetConnectionsKeepHome, TestQueuedRequestSurvivesReset (grant), TestQueuedRequestPlacedElsewhere (placement).

--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -61,6 +61,8 @@
 	// loopback connects the nodes over TCP. The default are connections in memory,
 	// for tests in a synctest bubble.
 	loopback bool
+	// network, if not nil, connects the nodes.
+	network *memoryNetwork
 }
 
 // start starts the nodes and waits until they are connected.
@@ -68,7 +70,10 @@
 	t.Helper()
 	peers := map[snipeford.NodeID]directory.Peer{}
 	listeners := map[snipeford.NodeID]net.Listener{}
-	memory := &memoryNetwork{listeners: map[string]*memoryListener{}}
+	memory := c.network
+	if memory == nil {
+		memory = newMemoryNetwork()
+	}
 	for _, id := range c.nodes {
 		l := memory.listen(string(id))
 		if c.loopback {
@@ -240,17 +245,23 @@
 	})
 }
 
+// fillSlots starts a stream in each slot of all engines.
+func fillSlots(t *testing.T, n *node) {
+	t.Helper()
+	for i := range 4 * engineProfile().Slots {
+		id := "busy" + string(rune('0'+i/10)) + string(rune('0'+i%10))
+		if p, _ := n.client.Place(context.Background(), placementRequest(id)); p.Refused {
+			t.Fatalf("got %+v, want a placement", p)
+		}
+		n.client.ReportFirstEvent("s", snipeford.RequestID(id), snipeford.EngineLoad{})
+	}
+}
+
 func TestQueuedRequestWaitsForPlacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes := cluster{nodes: defaultNodes}.start(t)
 		first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
-		for i := range 4 * engineProfile().Slots {
-			id := "busy" + string(rune('0'+i/10)) + string(rune('0'+i%10))
-			if p, _ := first.client.Place(context.Background(), placementRequest(id)); p.Refused {
-				t.Fatalf("got %+v, want a placement", p)
-			}
-			first.client.ReportFirstEvent("s", snipeford.RequestID(id), snipeford.EngineLoad{})
-		}
+		fillSlots(t, first)
 		time.AfterFunc(200*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
 		started := time.Now()
 		p, decidedBy := last.client.Place(context.Background(), placementRequest("waits"))
@@ -274,6 +285,43 @@
 	})
 }
 
+// TestResetConnectionsKeepHome guards against nodes that use different homes after
+// all their connections were reset, and overload engines that each home takes for
+// idle.
+func TestResetConnectionsKeepHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := cluster{nodes: defaultNodes, network: network}.start(t)
+		time.Sleep(2 * time.Second)
+		network.resetAll()
+		time.Sleep(5 * time.Millisecond)
+		for name, n := range nodes {
+			if p, decidedBy := n.client.Place(context.Background(), placementRequest("from-"+string(name))); p.Refused || decidedBy != rankedNodes()[0] {
+				t.Errorf("%s: got placement %+v by %s, want one by %s", name, p, decidedBy, rankedNodes()[0])
+			}
+		}
+	})
+}
+
+// TestQueuedRequestSurvivesReset guards against queued requests that all entry nodes
+// place themselves when their connections to the home are reset.
+func TestQueuedRequestSurvivesReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := newMemoryNetwork()
+		nodes := cluster{nodes: defaultNodes, network: network}.start(t)
+		time.Sleep(2 * time.Second)
+		first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
+		fillSlots(t, first)
+		time.AfterFunc(100*time.Millisecond, network.resetAll)
+		time.AfterFunc(300*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
+		started := time.Now()
+		p, decidedBy := last.client.Place(context.Background(), placementRequest("waits"))
+		if elapsed := time.Since(started); p.Refused || decidedBy != rankedNodes()[0] || elapsed < 250*time.Millisecond {
+			t.Errorf("got placement %+v by %s after %v, want one by the home once a slot is free", p, decidedBy, elapsed)
+		}
+	})
+}
+
 // TestFeederForwardsStoreRows guards against each node reading the store itself,
 // with store calls that grow with the number of nodes.
 func TestFeederForwardsStoreRows(t *testing.T) {
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -29,6 +29,9 @@
 	// delay doubles up to maxRedialDelay.
 	minRedialDelay = 40 * time.Millisecond
 	maxRedialDelay = 300 * time.Millisecond
+	// stableConnectionTime is how long a connection has to last for its successor to
+	// be opened without a delay.
+	stableConnectionTime = 1 * time.Second
 	// dialTimeout limits one connection attempt. A VM that lost power does not
 	// respond, and it may be back before TCP retransmits a lost packet. Nodes are
 	// at most about ten milliseconds apart.
@@ -70,6 +73,7 @@
 func (l *link) run(ctx context.Context) {
 	delay, logged := minRedialDelay, false
 	for ctx.Err() == nil {
+		started := l.client.Timer.Now()
 		connected, err := l.connect(ctx)
 		if ctx.Err() != nil {
 			return
@@ -77,6 +81,12 @@
 		if connected {
 			delay, logged = minRedialDelay, false
 		}
+		if connected && l.client.Timer.Now().Sub(started) > stableConnectionTime {
+			// Only the connection was lost. Until it is back, this node uses another
+			// home, which does not know the requests of the others.
+			l.client.Log.Info("peer connection lost", "Peer", l.node, "Error", err)
+			continue
+		}
 		if !logged {
 			l.client.Log.Info("peer not connected", "Peer", l.node, "Error", err)
 		}
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -20,6 +20,9 @@
 	// replyTimeout is how long an entry node waits for the home's reply before it
 	// places the request itself. Nodes of one region are a few milliseconds apart.
 	replyTimeout = 40 * time.Millisecond
+	// reconnectCheckInterval is how often a node checks whether a lost connection to
+	// a home is back.
+	reconnectCheckInterval = 5 * time.Millisecond
 	// standbyPingDivisor is the number of ping intervals between two pings on a
 	// link that is not in use, such as to a standby of a home.
 	standbyPingDivisor = 10
@@ -240,7 +243,11 @@
 		return c.Loop.Place(ctx, req), c.Self.Node
 	}
 	sentAt := c.Timer.Now()
-	if p, ok := c.requestFromHome(ctx, homeLink, req); ok {
+	p, result := c.requestFromHome(ctx, homeLink, req)
+	if result == homeDisconnected && c.awaitReconnect(ctx, homeLink) {
+		p, result = c.requestFromHome(ctx, homeLink, after(req, c.Timer.Now().Sub(sentAt)))
+	}
+	if result == homeReplied {
 		c.Loop.Send(placer.PlacedByOtherNode{Call: snipeford.PlacedCall{Request: req, Placement: p}})
 		return p, homeLink.node
 	}
@@ -251,43 +258,78 @@
 		return snipeford.Placement{RequestID: req.RequestID, Refused: true}, homeLink.node
 	}
 	c.Log.Decided("home did not answer", req.RequestID, "Home", homeLink.node, "WaitedMs", waited.Milliseconds())
-	req.FirstEventTarget, req.TimeLeft, req.FirstEventTimeout = max(0, req.FirstEventTarget-waited), req.TimeLeft-waited, req.FirstEventTimeout-waited
-	p := c.Loop.Place(ctx, req)
+	req = after(req, waited)
+	p = c.Loop.Place(ctx, req)
 	if !p.Refused {
 		homeLink.notify(Frame{PlacedLocally: &snipeford.PlacedCall{Request: req, Placement: p}})
 	}
 	return p, c.Self.Node
 }
 
+// after returns the request with its times reduced by the time that it has waited.
+func after(req snipeford.PlacementRequest, waited time.Duration) snipeford.PlacementRequest {
+	req.FirstEventTarget = max(0, req.FirstEventTarget-waited)
+	req.TimeLeft -= waited
+	req.FirstEventTimeout -= waited
+	return req
+}
+
+// awaitReconnect waits up to replyTimeout until a home whose connection was lost
+// responds again. The home knows the requests of all nodes, this node only its own.
+func (c *Client) awaitReconnect(ctx context.Context, homeLink *link) bool {
+	for waited := time.Duration(0); waited < replyTimeout; waited += reconnectCheckInterval {
+		if homeLink.healthy(c.Timer.Now()) {
+			return true
+		}
+		if !c.Timer.Sleep(ctx, reconnectCheckInterval) {
+			return false
+		}
+	}
+	return false
+}
+
+// homeResult tells how a request to a home ended.
+type homeResult int
+
+const (
+	homeReplied homeResult = iota
+	// homeSilent means that the home did not reply in time or is not healthy.
+	homeSilent
+	homeDisconnected
+)
+
 // requestFromHome sends the request to the home and waits for its placement: up
 // to replyTimeout, or, once the home has queued the request, until its first-event
 // timeout and for as long as the home stays healthy.
-func (c *Client) requestFromHome(ctx context.Context, homeLink *link, req snipeford.PlacementRequest) (snipeford.Placement, bool) {
+func (c *Client) requestFromHome(ctx context.Context, homeLink *link, req snipeford.PlacementRequest) (snipeford.Placement, homeResult) {
 	sentAt := c.Timer.Now()
 	replies, err := homeLink.requestPlacement(req)
 	if err != nil {
-		return snipeford.Placement{}, false
+		return snipeford.Placement{}, homeDisconnected
 	}
 	for queued := false; ; {
 		waitCtx, cancel := context.WithTimeout(ctx, replyTimeout)
 		select {
 		case p, ok := <-replies:
 			cancel()
-			if !ok || !p.Queued {
-				return p, ok
+			switch {
+			case !ok:
+				return p, homeDisconnected
+			case !p.Queued:
+				return p, homeReplied
 			}
 			queued = true
 		case <-waitCtx.Done():
 			cancel()
 			if ctx.Err() != nil {
-				return snipeford.Placement{}, false
+				return snipeford.Placement{}, homeSilent
 			}
 			if !queued {
 				homeLink.markSuspect(c.Timer.Now())
-				return snipeford.Placement{}, false
+				return snipeford.Placement{}, homeSilent
 			}
 			if !homeLink.healthy(c.Timer.Now()) || c.Timer.Now().Sub(sentAt) > req.FirstEventTimeout {
-				return snipeford.Placement{}, false
+				return snipeford.Placement{}, homeSilent
 			}
 		}
 	}
--- a/internal/fleet/grant/memory_test.go
+++ b/internal/fleet/grant/memory_test.go
@@ -10,10 +10,28 @@
 
 // memoryNetwork connects the nodes of a test without the operating system, so that
 // the test runs in virtual time.
-type memoryNetwork struct{ listeners map[string]*memoryListener }
+type memoryNetwork struct {
+	listeners map[string]*memoryListener
+	mu        sync.Mutex
+	conns     []net.Conn
+}
+
+// resetAll closes all connections.
+func (n *memoryNetwork) resetAll() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.conns {
+		_ = c.Close()
+	}
+	n.conns = nil
+}
 
 var errRefused = errors.New("connection refused")
 
+func newMemoryNetwork() *memoryNetwork {
+	return &memoryNetwork{listeners: map[string]*memoryListener{}}
+}
+
 func (n *memoryNetwork) listen(address string) net.Listener {
 	l := &memoryListener{address: address, accepted: make(chan net.Conn), closed: make(chan struct{})}
 	n.listeners[address] = l
@@ -28,6 +46,9 @@
 	ours, theirs := net.Pipe()
 	select {
 	case l.accepted <- theirs:
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.conns = append(n.conns, ours)
 		return ours, nil
 	case <-l.closed:
 		return nil, errRefused
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -88,6 +88,7 @@
 	if s.unservable(req) {
 		return []snipeford.Placement{s.refusal(req)}
 	}
+	s.replace(now, req.RequestID)
 	s.decayLongLoad(now)
 	s.updateDedicatedEngines()
 	if p, ok := s.place(now, q, req); ok {
--- a/internal/policy/placement/queue_test.go
+++ b/internal/policy/placement/queue_test.go
@@ -479,3 +479,34 @@
 		}
 	})
 }
+
+// TestQueuedRequestPlacedElsewhere guards against a request that an entry node places
+// itself while it waits in the home's queue, as after a reset of their connection. It
+// must not be placed a second time, which would occupy a slot for good.
+func TestQueuedRequestPlacedElsewhere(t *testing.T) {
+	s := newState(1)
+	running := func(i int) snipeford.RequestID { return snipeford.RequestID("running" + strconv.Itoa(i)) }
+	for i := range placing.Profile.Slots {
+		s.Ask(0, shortRequest(string(running(i))))
+		s.First(0, running(i), snipeford.EngineLoad{})
+	}
+	s.Ask(0, shortRequest("waits"))
+	s.AddPlaced(0, snipeford.PlacedCall{Request: shortRequest("waits"), Placement: snipeford.Placement{RequestID: "waits", Upstream: "e0"}})
+	s.End(at(50*time.Millisecond), running(0), false, "")
+	s.End(at(50*time.Millisecond), running(1), false, "")
+	if got := s.Next(at(50 * time.Millisecond)); len(got) > 0 {
+		t.Errorf("got %+v, want no second placement", got)
+	}
+	t.Run("a request that is asked for again has one place", func(t *testing.T) {
+		s := newState(1)
+		s.Ask(0, shortRequest("again"))
+		s.Ask(at(time.Millisecond), shortRequest("again"))
+		s.End(at(time.Second), "again", false, "")
+		for i := range placing.Profile.Slots {
+			if got := s.Ask(at(2*time.Second), shortRequest(string(running(i)))); len(got) == 0 {
+				t.Errorf("got no place for request %d, want all slots free", i)
+			}
+			s.First(at(2*time.Second), running(i), snipeford.EngineLoad{})
+		}
+	})
+}
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -88,9 +88,7 @@
 	if p.Placement.Refused {
 		return
 	}
-	if _, ok := s.jobs[p.Request.RequestID]; ok {
-		s.End(now, p.Request.RequestID, false, "")
-	}
+	s.replace(now, p.Request.RequestID)
 	j := s.commit(now, p.Request, p.Placement)
 	j.start = now.Add(-p.Age)
 	s.reducePrefill(now, j, p.Age)
@@ -99,6 +97,15 @@
 	}
 }
 
+// replace removes an earlier entry of a request, placed or queued. A second one would
+// stay on its engine for good.
+func (s *State) replace(now snipeford.Instant, id snipeford.RequestID) {
+	if _, ok := s.jobs[id]; ok {
+		s.End(now, id, false, "")
+	}
+	s.dequeue(id)
+}
+
 // commit records a placement on its engines.
 func (s *State) commit(now snipeford.Instant, req snipeford.PlacementRequest, p snipeford.Placement) *job {
 	prefillTime := s.profile.prefillTime(req.Prompt)
