Answer requests that arrive while a node stops

Cause: at the end of its drain a node closed all connections at once. The relay counts a request only from the end of its header, so that one whose header was on its way was cut off without a response, although the process had read part of it. http.Server.Shutdown closes such connections as well, without a response, once the header is complete (tried).

Change: a stopping node closes its listener, then waits up to 0.4 s for the connections on which a request may be arriving, and for the requests that it has begun to serve, up to the platform's grace. The network in memory of the tests of grant moves to package pipe, which this test uses too.

--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -17,6 +17,7 @@
 	"snipeford/internal/control/directory"
 	"snipeford/internal/control/placer"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/emulate/pipe"
 	"snipeford/internal/fleet/grant"
 	"snipeford/internal/fleet/home"
 	"snipeford/internal/operate/decision"
@@ -62,7 +63,7 @@
 	// for tests in a synctest bubble.
 	loopback bool
 	// network, if not nil, connects the nodes.
-	network *memoryNetwork
+	network *pipe.Network
 }
 
 // start starts the nodes and waits until they are connected.
@@ -72,10 +73,10 @@
 	listeners := map[snipeford.NodeID]net.Listener{}
 	memory := c.network
 	if memory == nil {
-		memory = newMemoryNetwork()
+		memory = &pipe.Network{}
 	}
 	for _, id := range c.nodes {
-		l := memory.listen(string(id))
+		l := net.Listener(memory.Listen(string(id)))
 		if c.loopback {
 			l = listenLoopback(t)
 		}
@@ -95,6 +96,15 @@
 	return nodes
 }
 
+func listenLoopback(t testing.TB) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return l
+}
+
 // discardInput accepts connections and never responds, like a frozen process.
 func discardInput(l net.Listener) {
 	for {
@@ -106,7 +116,7 @@
 	}
 }
 
-func (c cluster) startNode(t testing.TB, self directory.Peer, peers map[snipeford.NodeID]directory.Peer, l net.Listener, memory *memoryNetwork) *node {
+func (c cluster) startNode(t testing.TB, self directory.Peer, peers map[snipeford.NodeID]directory.Peer, l net.Listener, memory *pipe.Network) *node {
 	t.Helper()
 	clock := &timer.Clock{}
 	// Instant zero means that something never happened.
@@ -125,7 +135,7 @@
 	}
 	client := &grant.Client{PingInterval: c.pingInterval, Self: self, Loop: loop, Timer: clock, Log: decisionLog, Staleness: func() (time.Duration, bool) { return n.staleness(), true }}
 	if !c.loopback {
-		client.Dial = memory.dial
+		client.Dial = memory.Dial
 	}
 	client.ApplyRows = func(grant.Rows) { n.rowFrames.Add(1) }
 	client.ConfirmRows = func(snipeford.Instant) {
@@ -290,10 +300,10 @@
 // idle.
 func TestResetConnectionsKeepHome(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := newMemoryNetwork()
+		network := &pipe.Network{}
 		nodes := cluster{nodes: defaultNodes, network: network}.start(t)
 		time.Sleep(2 * time.Second)
-		network.resetAll()
+		network.ResetAll()
 		time.Sleep(5 * time.Millisecond)
 		for name, n := range nodes {
 			if p, decidedBy := n.client.Place(context.Background(), placementRequest("from-"+string(name))); p.Refused || decidedBy != rankedNodes()[0] {
@@ -307,12 +317,12 @@
 // place themselves when their connections to the home are reset.
 func TestQueuedRequestSurvivesReset(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		network := newMemoryNetwork()
+		network := &pipe.Network{}
 		nodes := cluster{nodes: defaultNodes, network: network}.start(t)
 		time.Sleep(2 * time.Second)
 		first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
 		fillSlots(t, first)
-		time.AfterFunc(100*time.Millisecond, network.resetAll)
+		time.AfterFunc(100*time.Millisecond, network.ResetAll)
 		time.AfterFunc(300*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
 		started := time.Now()
 		p, decidedBy := last.client.Place(context.Background(), placementRequest("waits"))
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -13,6 +13,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -60,6 +61,9 @@
 	killMargin = 400 * time.Millisecond
 	// activePollInterval is how often a draining node checks for active requests.
 	activePollInterval = 50 * time.Millisecond
+	// lastRequestTime is how long a stopping node waits, after it has closed its
+	// listener, for requests that have begun to arrive.
+	lastRequestTime = 400 * time.Millisecond
 	// sweepInterval is how often the pool of idle connections is swept.
 	sweepInterval = 1 * time.Second
 	// maxKeyAgeFraction is the fraction of the revocation bound up to which the known
@@ -98,7 +102,11 @@
 	pool       *connection.Pool
 	self       directory.Peer
 	platform   Platform
-	callers    *http.Server
+	// callers serves the callers on callerListener, and openConns counts its open
+	// connections.
+	callers        *http.Server
+	callerListener net.Listener
+	openConns      atomic.Int64
 }
 
 // New assembles a node from its settings. It registers the node's metrics in
@@ -189,31 +197,43 @@
 		return fmt.Errorf("listen for peers: %w", trace.ConvertSystemError(err))
 	}
 	group.Go(func() error { return n.peerServer.Serve(ctx, peers) })
-	if _, err := n.serve(ctx, group, n.settings.ReadyAddress, http.HandlerFunc(n.handleReady)); err != nil {
-		return err
+	for address, handler := range map[string]http.HandlerFunc{n.settings.ReadyAddress: n.handleReady, n.settings.MetricsAddress: n.handleMetrics} {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, trace.ConvertSystemError(err))
+		}
+		serveUntil(ctx, group, newServer(handler), listener)
 	}
-	if _, err := n.serve(ctx, group, n.settings.MetricsAddress, http.HandlerFunc(n.handleMetrics)); err != nil {
-		return err
+	n.callerListener, err = net.Listen("tcp4", n.settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", trace.ConvertSystemError(err))
 	}
-	n.callers, err = n.serve(ctx, group, n.settings.CallerAddress, n.relay)
-	return err
+	n.callers = newServer(n.relay)
+	n.callers.ConnState = n.countConn
+	serveUntil(ctx, group, n.callers, n.callerListener)
+	return nil
 }
 
-func (n *Node) serve(ctx context.Context, group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen: %w", trace.ConvertSystemError(err))
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes}
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
+// serveUntil serves a listener until it is closed or ctx ends, which closes all
+// connections of the server.
+func serveUntil(ctx context.Context, group *errgroup.Group, server *http.Server, listener net.Listener) {
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	group.Go(func() error {
-		defer stop()
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve %s: %w", address, trace.Wrap(err))
+		err := server.Serve(listener)
+		if errors.Is(err, net.ErrClosed) {
+			<-ctx.Done()
+			err = http.ErrServerClosed
+		}
+		stop()
+		if !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("serve %s: %w", listener.Addr(), trace.Wrap(err))
 		}
 		return nil
 	})
-	return server, nil
 }
 
 // handleReady responds to the load balancer's readiness probe.
@@ -270,6 +290,29 @@
 	}
 }
 
+// closeCallers accepts no more connections and waits for the requests that have begun
+// to arrive: the relay counts them only from the end of their headers. http.Server's
+// own Shutdown closes such connections without a response.
+func (n *Node) closeCallers(ctx context.Context, start snipeford.Instant) {
+	if err := n.callerListener.Close(); err != nil {
+		n.log.Warn("cannot close the callers' listener", err)
+	}
+	end := min(n.timer.Now().Add(lastRequestTime), start.Add(n.settings.StopGrace-killMargin))
+	for n.openConns.Load() > 0 && ctx.Err() == nil && (n.timer.Now() < end || n.relay.Active() > 0 && n.timer.Now() < start.Add(n.settings.StopGrace-killMargin)) {
+		n.timer.Sleep(ctx, activePollInterval)
+	}
+}
+
+// countConn counts the callers' open connections.
+func (n *Node) countConn(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		n.openConns.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		n.openConns.Add(-1)
+	}
+}
+
 // drain waits until the load balancer no longer sends callers and all requests
 // have ended, or until the platform is about to kill the process.
 func (n *Node) drain(ctx context.Context) {
@@ -286,5 +329,6 @@
 		}
 		n.timer.Sleep(ctx, activePollInterval)
 	}
+	n.closeCallers(ctx, start)
 	n.log.Info("node stops", "Active", n.relay.Active(), "WaitedMs", n.timer.Now().Sub(start).Milliseconds())
 }
