Count only long prompts in the queue as demand of long prompts

Cause: any queued request raised the cost of the engines that are not dedicated, so that short prompts avoided idle ones while short prompts were queued. Change: only queued long prompts do.

--- a/internal/policy/placement/dedicated.go
+++ b/internal/policy/placement/dedicated.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 
 	"snipeford"
 )
@@ -60,7 +61,7 @@
 // dedicated, from 0 to 1.
 func (s *State) longPromptDemand() float64 {
 	p := longLoadDemandFactor * s.longLoad / (1000 * float64(max(len(s.candidates), 1)))
-	if len(s.queued) > 0 {
+	if slices.ContainsFunc(s.queued, func(q *queued) bool { return !q.short() }) {
 		p += queuedDemand
 	}
 	return math.Min(1, p)
