Send large routings between nodes compressed, and once

Four nodes are at the other end of nearly all broken connections: the feeders. Each sends the whole routing, some 400 KB of JSON, to 16 nodes over a link of 20 Mbit/s; a write that took longer than 300 ms closed the connection, and the next one began with all rows again.

Change: batches from 8 KB on are compressed, once for all subscribers; a subscriber says which versions it has and gets only collections that changed since; rows have 3 s for a write. Nodes of an older build get plain rows.

--- a/internal/fleet/grant/feed.go
+++ b/internal/fleet/grant/feed.go
@@ -27,6 +27,11 @@
 // part of the hashed text, so that all nodes must use the same key.
 const feederRankKey snipeford.ServiceName = "rows of the store"
 
+// SubscribeFunc calls push with the present rows, except for collections that have not
+// changed since the known version, and then with each change, until the returned
+// function is called. The push function must not block.
+type SubscribeFunc func(known map[snipeford.Collection]uint64, push func(Rows)) (cancel func())
+
 // feedWriter sends rows to one subscriber. It sends each pong after the rows that
 // the pong confirms.
 type feedWriter struct {
@@ -40,7 +45,7 @@
 }
 
 // start starts the subscription. Only the first call has an effect.
-func (f *feedWriter) start(subscribe func(push func(Rows)) func()) {
+func (f *feedWriter) start(s Subscribe, subscribe SubscribeFunc) {
 	f.mu.Lock()
 	first := !f.started
 	f.started = true
@@ -49,7 +54,10 @@
 		return
 	}
 	go f.write()
-	cancel := subscribe(func(r Rows) { f.enqueue(Frame{Rows: &r}) })
+	cancel := subscribe(s.Known, func(r Rows) {
+		r = r.forPeer(s.AcceptsPacked)
+		f.enqueue(Frame{Rows: &r})
+	})
 	f.mu.Lock()
 	f.cancel = cancel
 	stopped := f.stopped
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -34,21 +34,17 @@
 	Sync               *Sync                 `json:",omitempty"`
 	Ping               *Ping                 `json:",omitempty"`
 	Pong               *Pong                 `json:",omitempty"`
-	// Subscribe requests all rows that the peer has, and all later changes.
+	// Subscribe requests the rows that the peer has, and all later changes.
 	Subscribe *Subscribe `json:",omitempty"`
 	Rows      *Rows      `json:",omitempty"`
 }
 
-// Subscribe has no content.
-type Subscribe struct{}
-
-// Rows carries a batch of a collection. The sender has already applied it.
-type Rows struct {
-	Collection snipeford.Collection
-	Batch      snipeford.Batch
-	// KeepMissing is how much longer, in nanoseconds, upstreams whose rows are missing
-	// are used: rows of live upstreams expired in an outage of the store.
-	KeepMissing time.Duration `json:",omitempty"`
+// Subscribe requests rows. Known holds the versions of the collections that the sender
+// has; rows that have not changed since are not sent again. AcceptsPacked is set if the
+// sender understands Rows.PackedBatch.
+type Subscribe struct {
+	Known         map[snipeford.Collection]uint64 `json:",omitempty"`
+	AcceptsPacked bool                            `json:",omitempty"`
 }
 
 // Hello is the first frame on a connection.
@@ -82,9 +78,13 @@
 	StalenessMs    int64 `json:"ConfirmedAge"`
 }
 
-// writeTimeout limits the time to write one frame. The connection to a peer that
-// does not read is closed.
-const writeTimeout = 300 * time.Millisecond
+// writeTimeout limits the time to write one frame, and rowsWriteTimeout that to write
+// rows, of which a snapshot can take longer on a busy link. The connection to a peer
+// that does not read is closed.
+const (
+	writeTimeout     = 300 * time.Millisecond
+	rowsWriteTimeout = 3 * time.Second
+)
 
 // frameConn writes frames to one connection.
 type frameConn struct {
@@ -102,7 +102,11 @@
 func (fc *frameConn) send(f Frame) error {
 	fc.mu.Lock()
 	defer fc.mu.Unlock()
-	if err := fc.conn.SetWriteDeadline(fc.timer.Deadline(writeTimeout)); err != nil {
+	timeout := writeTimeout
+	if f.Rows != nil {
+		timeout = rowsWriteTimeout
+	}
+	if err := fc.conn.SetWriteDeadline(fc.timer.Deadline(timeout)); err != nil {
 		fc.close()
 		return fmt.Errorf("set write deadline: %w", err)
 	}
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -165,7 +165,9 @@
 		case f.Pong != nil:
 			l.handlePong(*f.Pong)
 		case f.Rows != nil:
-			l.handleRows(*f.Rows)
+			if err := l.handleRows(*f.Rows); err != nil {
+				return err
+			}
 		}
 	}
 }
@@ -204,11 +206,16 @@
 }
 
 // handleRows applies rows before the link reads the next frame.
-func (l *link) handleRows(r Rows) {
+func (l *link) handleRows(r Rows) error {
+	r, err := r.unpacked()
+	if err != nil {
+		return err
+	}
 	l.client.ApplyRows(r)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.received[r.Collection] = true
+	return nil
 }
 
 // receivedCollections returns the number of collections that the peer has sent
@@ -229,7 +236,11 @@
 	l.subscribed = true
 	fc := l.conn
 	go func() {
-		if err := fc.send(Frame{Subscribe: &Subscribe{}}); err != nil {
+		request := &Subscribe{AcceptsPacked: true}
+		if l.client.KnownVersions != nil {
+			request.Known = l.client.KnownVersions()
+		}
+		if err := fc.send(Frame{Subscribe: request}); err != nil {
 			l.client.Log.Warn("cannot subscribe to feeder", err, "Peer", l.node)
 		}
 	}()
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -58,6 +58,8 @@
 	// the VM is suspended.
 	ApplyRows   func(Rows)
 	ConfirmRows func(snipeford.Instant)
+	// KnownVersions returns the versions of the collections that this node has.
+	KnownVersions func() map[snipeford.Collection]uint64
 
 	mu  sync.Mutex
 	ctx context.Context
--- /dev/null
+++ b/internal/fleet/grant/rows.go
@@ -0,0 +1,84 @@
+package grant
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/gravitational/trace"
+
+	"snipeford"
+)
+
+const (
+	// minPackedBytes is the size of a batch from which on it is sent compressed. A
+	// routing with many routes has some hundred kilobytes, which a feeder with a slow
+	// link would have to send to each subscriber.
+	minPackedBytes = 8 << 10
+	// maxUnpackedBytes limits the size of a batch after decompression.
+	maxUnpackedBytes = 32 << 20
+)
+
+// Rows carries a batch of a collection. The sender has already applied it.
+type Rows struct {
+	Collection snipeford.Collection
+	Batch      snipeford.Batch
+	// PackedBatch replaces Batch between nodes if it is large: its JSON, compressed
+	// with DEFLATE.
+	PackedBatch []byte `json:",omitempty"`
+	// KeepMissing is how much longer, in nanoseconds, upstreams whose rows are missing
+	// are used: rows of live upstreams expired in an outage of the store.
+	KeepMissing time.Duration `json:",omitempty"`
+}
+
+// NewRows returns rows to push to subscribers. It compresses a large batch, once for
+// all subscribers.
+func NewRows(c snipeford.Collection, b snipeford.Batch, keepMissing time.Duration) (Rows, error) {
+	r := Rows{Collection: c, Batch: b, KeepMissing: keepMissing}
+	size := 0
+	for _, change := range b.Changes {
+		size += len(change.Key) + len(change.Value)
+	}
+	if size < minPackedBytes {
+		return r, nil
+	}
+	var packed bytes.Buffer
+	w, err := flate.NewWriter(&packed, flate.BestSpeed)
+	if err != nil {
+		return r, fmt.Errorf("compress rows: %w", trace.Wrap(err))
+	}
+	if err := json.NewEncoder(w).Encode(b); err != nil {
+		return r, fmt.Errorf("encode rows: %w", trace.Wrap(err))
+	}
+	if err := w.Close(); err != nil {
+		return r, fmt.Errorf("compress rows: %w", trace.Wrap(err))
+	}
+	r.PackedBatch = packed.Bytes()
+	return r, nil
+}
+
+// forPeer returns the rows as they are sent to a peer, with one form of the batch.
+func (r Rows) forPeer(acceptsPacked bool) Rows {
+	if len(r.PackedBatch) > 0 && acceptsPacked {
+		r.Batch = snipeford.Batch{}
+		return r
+	}
+	r.PackedBatch = nil
+	return r
+}
+
+// unpacked returns received rows with their batch.
+func (r Rows) unpacked() (Rows, error) {
+	if len(r.PackedBatch) == 0 {
+		return r, nil
+	}
+	reader := io.LimitReader(flate.NewReader(bytes.NewReader(r.PackedBatch)), maxUnpackedBytes)
+	if err := json.NewDecoder(reader).Decode(&r.Batch); err != nil {
+		return r, fmt.Errorf("decode compressed rows: %w", trace.Wrap(err))
+	}
+	r.PackedBatch = nil
+	return r, nil
+}
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -30,9 +30,8 @@
 	// RoutingStatus returns the version and the staleness of the routing, and false
 	// if it was never known to be current.
 	RoutingStatus func() (snipeford.Version, time.Duration, bool)
-	// Subscribe calls push with all present rows, and then with each change, until
-	// the returned function is called. The push function must not block.
-	Subscribe func(push func(Rows)) (cancel func())
+	// Subscribe starts a subscription of another node.
+	Subscribe SubscribeFunc
 
 	mu    sync.Mutex
 	peers map[snipeford.NodeID]*frameConn
@@ -150,7 +149,7 @@
 		case m.Sync != nil:
 			s.Loop.Send(placer.NodeSynced{Node: node, Calls: m.Sync.Calls})
 		case m.Subscribe != nil:
-			f.start(s.Subscribe)
+			f.start(*m.Subscribe, s.Subscribe)
 		case m.Ping != nil:
 			if err := f.sendPong(s.newPong(m.Ping.Number)); err != nil {
 				return err
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -130,7 +130,7 @@
 	n.follower.hasFreshRows = n.peerClient.HasFreshFeed
 	n.follower.feederHealthy = n.peerClient.FeederHealthy
 	n.peerClient.ApplyRows, n.peerClient.ConfirmRows = n.follower.applyPeerRows, n.tracker.AdvanceTo
-	n.peerServer.Subscribe = n.follower.subscribe
+	n.peerServer.Subscribe, n.peerClient.KnownVersions = n.follower.subscribe, n.follower.knownVersions
 	n.relay = &relay.Server{
 		Node: s.Node, Domain: s.FailureDomain, View: n.follower.current, Freshness: &n.tracker, Timer: t,
 		Pool: n.pool, Codec: platform.HeaderCodec, Placer: n.peerClient, Balancer: n.balancer, Reservations: platform.Reservations,
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -77,8 +77,10 @@
 // rowSet holds the rows of one collection at a version of the store.
 type rowSet struct {
 	version uint64
-	loaded  bool
-	values  map[string][]byte
+	// changedAt is the version of the last batch with changes.
+	changedAt uint64
+	loaded    bool
+	values    map[string][]byte
 }
 
 // current returns the newest view; it is never nil.
@@ -270,14 +272,40 @@
 		return
 	}
 	rows.update(b)
+	rows.changedAt = b.Version
 	f.state.KeepMissing(keepMissingUntil)
 	for _, invalid := range f.state.Apply(f.timer.Now(), c, b, f.decoder) {
 		f.log.Warn("cannot decode row", invalid.Err, "Collection", c, "Key", invalid.Key)
 	}
 	f.publish()
+	if len(f.subscribers) == 0 {
+		return
+	}
+	pushed := f.newRows(c, b, max(0, keepMissingUntil.Sub(f.timer.Now())))
 	for _, push := range f.subscribers {
-		push(grant.Rows{Collection: c, Batch: b, KeepMissing: max(0, keepMissingUntil.Sub(f.timer.Now()))})
+		push(pushed)
+	}
+}
+
+func (f *follower) newRows(c snipeford.Collection, b snipeford.Batch, keepMissing time.Duration) grant.Rows {
+	r, err := grant.NewRows(c, b, keepMissing)
+	if err != nil {
+		f.log.Warn("rows are sent uncompressed", err, "Collection", c)
+	}
+	return r
+}
+
+// knownVersions returns the versions of the collections that have been read.
+func (f *follower) knownVersions() map[snipeford.Collection]uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	out := map[snipeford.Collection]uint64{}
+	for c, r := range f.collections {
+		if r.loaded {
+			out[c] = r.version
+		}
 	}
+	return out
 }
 
 func (r *rowSet) update(b snipeford.Batch) {
@@ -293,15 +321,21 @@
 	}
 }
 
-// subscribe calls push with all rows that this node has, and then with each
-// change, until the returned function is called.
-func (f *follower) subscribe(push func(grant.Rows)) func() {
+// subscribe calls push with the rows that this node has, except for collections that
+// have not changed since the known version, and then with each change, until the
+// returned function is called.
+func (f *follower) subscribe(known map[snipeford.Collection]uint64, push func(grant.Rows)) func() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for c, r := range f.collections {
-		if r.loaded {
-			push(grant.Rows{Collection: c, Batch: r.batch(), KeepMissing: f.keepMissing()})
+		if !r.loaded {
+			continue
+		}
+		b := r.batch()
+		if version, ok := known[c]; ok && version >= r.changedAt {
+			b = snipeford.Batch{Version: r.version}
 		}
+		push(f.newRows(c, b, f.keepMissing()))
 	}
 	if f.subscribers == nil {
 		f.subscribers = map[int]func(grant.Rows){}
