Split and rename what a first reading of the changes found

Cause: read as a newcomer would: a loop condition of three lines in the drain, two functions that opened listeners, a forecast named after what it counts, the same decay in three places, and two tests that repeat a check. The forecast of late short prompts was zero on a node without a history, which would refuse the second one at once.

Change: names and functions; the capacity of the slots is the forecast's starting point.

--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -267,17 +267,24 @@
 	}
 }
 
+// assertPlacedByHome checks that the home places a request, and not before earliest,
+// when a slot is free.
+func assertPlacedByHome(t *testing.T, n *node, earliest time.Duration) {
+	t.Helper()
+	started := time.Now()
+	p, decidedBy := n.client.Place(context.Background(), placementRequest("waits"))
+	if elapsed := time.Since(started); p.Refused || decidedBy != rankedNodes()[0] || elapsed < earliest {
+		t.Errorf("got placement %+v by %s after %v, want one by the home once a slot is free", p, decidedBy, elapsed)
+	}
+}
+
 func TestQueuedRequestWaitsForPlacement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		nodes := cluster{nodes: defaultNodes}.start(t)
 		first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
 		fillSlots(t, first)
 		time.AfterFunc(200*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
-		started := time.Now()
-		p, decidedBy := last.client.Place(context.Background(), placementRequest("waits"))
-		if elapsed := time.Since(started); p.Refused || decidedBy != rankedNodes()[0] || elapsed < 150*time.Millisecond {
-			t.Errorf("got placement %+v by %s after %v, want one by the home once a slot is free", p, decidedBy, elapsed)
-		}
+		assertPlacedByHome(t, last, 150*time.Millisecond)
 	})
 }
 
@@ -324,11 +331,7 @@
 		fillSlots(t, first)
 		time.AfterFunc(100*time.Millisecond, network.ResetAll)
 		time.AfterFunc(300*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
-		started := time.Now()
-		p, decidedBy := last.client.Place(context.Background(), placementRequest("waits"))
-		if elapsed := time.Since(started); p.Refused || decidedBy != rankedNodes()[0] || elapsed < 250*time.Millisecond {
-			t.Errorf("got placement %+v by %s after %v, want one by the home once a slot is free", p, decidedBy, elapsed)
-		}
+		assertPlacedByHome(t, last, 250*time.Millisecond)
 	})
 }
 
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -197,30 +197,29 @@
 		return fmt.Errorf("listen for peers: %w", trace.ConvertSystemError(err))
 	}
 	group.Go(func() error { return n.peerServer.Serve(ctx, peers) })
-	for address, handler := range map[string]http.HandlerFunc{n.settings.ReadyAddress: n.handleReady, n.settings.MetricsAddress: n.handleMetrics} {
-		listener, err := net.Listen("tcp4", address)
-		if err != nil {
-			return fmt.Errorf("listen on %s: %w", address, trace.ConvertSystemError(err))
-		}
-		serveUntil(ctx, group, newServer(handler), listener)
+	if _, err := serve(ctx, group, n.settings.ReadyAddress, newServer(http.HandlerFunc(n.handleReady))); err != nil {
+		return err
 	}
-	n.callerListener, err = net.Listen("tcp4", n.settings.CallerAddress)
-	if err != nil {
-		return fmt.Errorf("listen for callers: %w", trace.ConvertSystemError(err))
+	if _, err := serve(ctx, group, n.settings.MetricsAddress, newServer(http.HandlerFunc(n.handleMetrics))); err != nil {
+		return err
 	}
 	n.callers = newServer(n.relay)
 	n.callers.ConnState = n.countConn
-	serveUntil(ctx, group, n.callers, n.callerListener)
-	return nil
+	n.callerListener, err = serve(ctx, group, n.settings.CallerAddress, n.callers)
+	return err
 }
 
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// serveUntil serves a listener until it is closed or ctx ends, which closes all
-// connections of the server.
-func serveUntil(ctx context.Context, group *errgroup.Group, server *http.Server, listener net.Listener) {
+// serve listens on an address and serves it until the returned listener is closed or
+// ctx ends, which closes all connections of the server.
+func serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) (net.Listener, error) {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, trace.ConvertSystemError(err))
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	group.Go(func() error {
 		err := server.Serve(listener)
@@ -230,10 +229,11 @@
 		}
 		stop()
 		if !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve %s: %w", listener.Addr(), trace.Wrap(err))
+			return fmt.Errorf("serve %s: %w", address, trace.Wrap(err))
 		}
 		return nil
 	})
+	return listener, nil
 }
 
 // handleReady responds to the load balancer's readiness probe.
@@ -297,9 +297,13 @@
 	if err := n.callerListener.Close(); err != nil {
 		n.log.Warn("cannot close the callers' listener", err)
 	}
-	end := min(n.timer.Now().Add(lastRequestTime), start.Add(n.settings.StopGrace-killMargin))
-	for n.openConns.Load() > 0 && ctx.Err() == nil && (n.timer.Now() < end || n.relay.Active() > 0 && n.timer.Now() < start.Add(n.settings.StopGrace-killMargin)) {
-		n.timer.Sleep(ctx, activePollInterval)
+	killedAt := start.Add(n.settings.StopGrace - killMargin)
+	arrivalsEnd := min(n.timer.Now().Add(lastRequestTime), killedAt)
+	for n.openConns.Load() > 0 && n.timer.Sleep(ctx, activePollInterval) {
+		now := n.timer.Now()
+		if now >= killedAt || now >= arrivalsEnd && n.relay.Active() == 0 {
+			return
+		}
 	}
 }
 
--- a/internal/policy/placement/forecast.go
+++ b/internal/policy/placement/forecast.go
@@ -10,8 +10,8 @@
 const (
 	// placementRateTime is the time constant of the rates of queueForecast.
 	placementRateTime = time.Second
-	// minLateShare is the least share of the placements that late requests are assumed
-	// to get, so that some of them keep waiting and the forecast follows the load.
+	// minLateShare is the least share of the engines' capacity that late requests are
+	// assumed to get, so that some keep waiting and the forecast follows the load.
 	minLateShare = 0.05
 )
 
@@ -32,21 +32,27 @@
 	}
 }
 
-// queueEmpty records that no request is queued: the next ones may get all placements.
-func (f *queueForecast) queueEmpty(now snipeford.Instant) {
+// queueEmpty records that no request is queued: the next ones may get all placements,
+// or all that the engines have the capacity for, per second.
+func (f *queueForecast) queueEmpty(now snipeford.Instant, capacity float64) {
 	f.decay(now)
-	f.late = f.all
+	f.late = math.Max(f.all, capacity)
 }
 
 // perSecond returns how many late short prompts are placed in a second.
-func (f *queueForecast) perSecond(now snipeford.Instant) float64 {
+func (f *queueForecast) perSecond(now snipeford.Instant, capacity float64) float64 {
 	f.decay(now)
-	return math.Max(f.late, minLateShare*f.all)
+	return math.Max(f.late, minLateShare*capacity)
+}
+
+// decayFactor returns what is left of an exponentially decaying sum after a time.
+func decayFactor(elapsed, timeConstant time.Duration) float64 {
+	return math.Exp(-float64(elapsed) / float64(timeConstant))
 }
 
 func (f *queueForecast) decay(now snipeford.Instant) {
 	if f.updatedAt > 0 {
-		factor := math.Exp(-float64(now.Sub(f.updatedAt)) / float64(placementRateTime))
+		factor := decayFactor(now.Sub(f.updatedAt), placementRateTime)
 		f.all *= factor
 		f.late *= factor
 	}
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -93,12 +93,12 @@
 	s.updateDedicatedEngines()
 	if p, ok := s.place(now, q, req); ok {
 		if q.short() {
-			s.lateShort.record(now, false)
+			s.shortForecast.record(now, false)
 		}
 		return []snipeford.Placement{p}
 	}
 	if len(s.queued) == 0 {
-		s.lateShort.queueEmpty(now)
+		s.shortForecast.queueEmpty(now, s.requestCapacity())
 	}
 	s.queued = append(s.queued, q)
 	return nil
@@ -123,14 +123,14 @@
 			out = append(out, s.refusal(req))
 			return true
 		}
-		if s.hopeless(now, q, req, waiting) {
+		if s.waitsInVain(now, q, req, waiting) {
 			out = append(out, refusalUnderOverload(req))
 			return true
 		}
 		if unplaced < maxUnplacedPerScan {
 			if p, ok := s.place(now, q, req); ok {
 				if q.short() {
-					s.lateShort.record(now, q.late)
+					s.shortForecast.record(now, q.late)
 				}
 				out = append(out, p)
 				return true
@@ -168,14 +168,14 @@
 	return s.profile.prefillTime(req.Prompt)/float64(s.maxEngines(req)) > ms(left)
 }
 
-// hopeless reports whether a late short prompt will not get its turn before its
+// waitsInVain reports whether a late short prompt will not get its turn before its
 // caller disconnects: more of them wait before it than are placed in that time.
-func (s *State) hopeless(now snipeford.Instant, q *queued, req snipeford.PlacementRequest, waitingBefore int) bool {
+func (s *State) waitsInVain(now snipeford.Instant, q *queued, req snipeford.PlacementRequest, waitingBefore int) bool {
 	if !q.late || !q.short() {
 		return false
 	}
 	left := firstEventTimeLeft(req) - minFirstEventTimeLeft
-	return float64(waitingBefore) > s.lateShort.perSecond(now)*left.Seconds()
+	return float64(waitingBefore) > s.shortForecast.perSecond(now, s.requestCapacity())*left.Seconds()
 }
 
 // firstEventTimeLeft returns how long the caller still waits for the first event.
@@ -196,11 +196,15 @@
 // retryAfter returns when a refused caller may retry: when the engines should have
 // served the queue, but early enough for the caller's own timeout.
 func (s *State) retryAfter(req snipeford.PlacementRequest) time.Duration {
-	perSecond := float64(max(len(s.candidates), 1)*max(s.profile.Slots, 1)) / typicalResponseSeconds
-	backlog := duration(1000 * float64(len(s.queued)) / perSecond)
+	backlog := duration(1000 * float64(len(s.queued)) / s.requestCapacity())
 	return min(max(minRetryAfter, 2*backlog), req.TimeLeft/retryAfterDivisor)
 }
 
+// requestCapacity returns how many requests the engines' slots bear in a second.
+func (s *State) requestCapacity() float64 {
+	return float64(max(len(s.candidates), 1)*max(s.profile.Slots, 1)) / typicalResponseSeconds
+}
+
 // sortQueue sorts the queue by priority. Within a priority, short prompts that can
 // still meet their target come first, the newest before the others: when there are
 // too many, the older ones are almost late. Long ones that can meet their target
--- a/internal/policy/placement/reliability.go
+++ b/internal/policy/placement/reliability.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"time"
 
 	"snipeford"
@@ -40,7 +39,7 @@
 }
 
 func (r *reliability) decay(now snipeford.Instant) {
-	factor := math.Exp(-float64(now.Sub(r.updatedAt)) / float64(reliabilityTime))
+	factor := decayFactor(now.Sub(r.updatedAt), reliabilityTime)
 	r.ends *= factor
 	r.failures *= factor
 	r.updatedAt = now
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"math"
 	"slices"
 	"time"
 
@@ -24,8 +23,8 @@
 	// gap-sensitive requests.
 	dedicatedEngines int
 	queued           []*queued
-	// lateShort forecasts the placements of late short prompts in the queue.
-	lateShort queueForecast
+	// shortForecast forecasts the placements of late short prompts in the queue.
+	shortForecast queueForecast
 	// nextQueueScan is when Next evaluates the queued requests again.
 	nextQueueScan snipeford.Instant
 }
@@ -159,7 +158,7 @@
 
 func (s *State) decayLongLoad(now snipeford.Instant) {
 	if s.longLoadAt > 0 {
-		s.longLoad *= math.Exp(-float64(now.Sub(s.longLoadAt)) / float64(longLoadTimeConstant))
+		s.longLoad *= decayFactor(now.Sub(s.longLoadAt), longLoadTimeConstant)
 	}
 	s.longLoadAt = now
 }
