Watch upstreams and nodes at most every 400 ms

Cause: a watch of the store ends at the first change. At a start of the fleet, each node's own row ends the watches of all feeders.

Change: after a watch of upstreams or nodes that returned changes, the next one begins at least 400 ms after it. The operators' rows are watched as before. A replica that leaves serves for two seconds or more after its row says so.

TestWatchOfFrequentChanges.

--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -26,6 +26,11 @@
 	// memberWatchTimeout is the same for nodes. A new node waits at most this long
 	// to become a home.
 	memberWatchTimeout = 10 * time.Second
+	// minChangeInterval is the minimum time between two watches of upstreams or nodes
+	// that return changes. Each change ends all watches, and a fleet of a hundred
+	// replicas changes several times a second. Upstreams that leave still serve for at
+	// least two seconds.
+	minChangeInterval = 400 * time.Millisecond
 	// initialBackoff and maxBackoff limit the delay after a failed call.
 	initialBackoff = 100 * time.Millisecond
 	maxBackoff     = 800 * time.Millisecond
@@ -150,6 +155,9 @@
 		w.needsSnapshot, w.backoff, w.failing = false, initialBackoff, false
 		f.setOperatorRowsFailed(w.collection, false)
 		f.applyStoreRows(w.collection, batch, sent)
+		if w.collection != snipeford.OperatorRows && len(batch.Changes) > 0 {
+			f.timer.Sleep(ctx, minChangeInterval-f.timer.SinceBoot().Sub(sent))
+		}
 	}
 }
 
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -381,3 +381,26 @@
 		}
 	}
 }
+
+// TestWatchOfFrequentChanges guards against a call to the store for each change of an
+// upstream, by each feeder.
+func TestWatchOfFrequentChanges(t *testing.T) {
+	for collection, atLeast := range map[snipeford.Collection]time.Duration{snipeford.UpstreamRows: 9 * minChangeInterval, snipeford.OperatorRows: 0} {
+		synctest.Test(t, func(t *testing.T) {
+			feed := &scriptedFeed{exhausted: make(chan struct{})}
+			for i := range 10 {
+				feed.responses = append(feed.responses, response{batch: snipeford.Batch{Snapshot: i == 0, Version: uint64(i + 1), Changes: routingRow(i)}})
+			}
+			exhausted := feed.exhausted
+			f := newFollower(feed)
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			began := time.Now()
+			go func() { _ = f.follow(ctx, collection, time.Second) }()
+			<-exhausted
+			if took := time.Since(began); took < atLeast || atLeast == 0 && took > 0 {
+				t.Errorf("%s: got ten changes within %v, want at least %v, or no delay for the operators' rows", collection, took, atLeast)
+			}
+		})
+	}
+}
