Close idle connections of callers without cutting a request off

Change: the node tracks its callers' connections itself. A connection is idle from the end of a response to the first byte that is read; data that arrives after it was closed is not handed on, so that the request does not run.

--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -13,7 +13,6 @@
 	"io"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -102,11 +101,10 @@
 	pool       *connection.Pool
 	self       directory.Peer
 	platform   Platform
-	// callers serves the callers on callerListener, and openConns counts its open
-	// connections.
+	// callers serves the callers on callerListener, with the connections callerConns.
 	callers        *http.Server
 	callerListener net.Listener
-	openConns      atomic.Int64
+	callerConns    callerConns
 }
 
 // New assembles a node from its settings. It registers the node's metrics in
@@ -197,29 +195,38 @@
 		return fmt.Errorf("listen for peers: %w", trace.ConvertSystemError(err))
 	}
 	group.Go(func() error { return n.peerServer.Serve(ctx, peers) })
-	if _, err := serve(ctx, group, n.settings.ReadyAddress, newServer(http.HandlerFunc(n.handleReady))); err != nil {
-		return err
+	for _, probe := range []struct {
+		address string
+		handler http.HandlerFunc
+	}{{n.settings.ReadyAddress, n.handleReady}, {n.settings.MetricsAddress, n.handleMetrics}} {
+		listener, err := net.Listen("tcp4", probe.address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", probe.address, trace.ConvertSystemError(err))
+		}
+		serve(ctx, group, listener, newServer(probe.handler))
 	}
-	if _, err := serve(ctx, group, n.settings.MetricsAddress, newServer(http.HandlerFunc(n.handleMetrics))); err != nil {
-		return err
+	listener, err := net.Listen("tcp4", n.settings.CallerAddress)
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", trace.ConvertSystemError(err))
 	}
-	n.callers = newServer(n.relay)
-	n.callers.ConnState = n.countConn
-	n.callerListener, err = serve(ctx, group, n.settings.CallerAddress, n.callers)
-	return err
+	n.serveCallers(ctx, group, listener, n.relay)
+	return nil
+}
+
+func (n *Node) serveCallers(ctx context.Context, group *errgroup.Group, listener net.Listener, handler http.Handler) {
+	n.callers = newServer(handler)
+	n.callers.ConnState = n.callerConns.stateChanged
+	n.callerListener = n.callerConns.wrap(listener)
+	serve(ctx, group, n.callerListener, n.callers)
 }
 
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-// serve listens on an address and serves it until the returned listener is closed or
-// ctx ends, which closes all connections of the server.
-func serve(ctx context.Context, group *errgroup.Group, address string, server *http.Server) (net.Listener, error) {
-	listener, err := net.Listen("tcp4", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen on %s: %w", address, trace.ConvertSystemError(err))
-	}
+// serve serves a listener until it is closed or ctx ends, which closes all connections
+// of the server.
+func serve(ctx context.Context, group *errgroup.Group, listener net.Listener, server *http.Server) {
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	group.Go(func() error {
 		err := server.Serve(listener)
@@ -229,11 +236,10 @@
 		}
 		stop()
 		if !errors.Is(err, http.ErrServerClosed) {
-			return fmt.Errorf("serve %s: %w", address, trace.Wrap(err))
+			return fmt.Errorf("serve %s: %w", listener.Addr(), trace.Wrap(err))
 		}
 		return nil
 	})
-	return listener, nil
 }
 
 // handleReady responds to the load balancer's readiness probe.
@@ -299,7 +305,8 @@
 	}
 	killedAt := start.Add(n.settings.StopGrace - killMargin)
 	arrivalsEnd := min(n.timer.Now().Add(lastRequestTime), killedAt)
-	for n.openConns.Load() > 0 && n.timer.Sleep(ctx, activePollInterval) {
+	for n.callerConns.open() > 0 && n.timer.Sleep(ctx, activePollInterval) {
+		n.callerConns.closeIdle()
 		now := n.timer.Now()
 		if now >= killedAt || now >= arrivalsEnd && n.relay.Active() == 0 {
 			return
@@ -307,16 +314,6 @@
 	}
 }
 
-// countConn counts the callers' open connections.
-func (n *Node) countConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		n.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		n.openConns.Add(-1)
-	}
-}
-
 // drain waits until the load balancer no longer sends callers and all requests
 // have ended, or until the platform is about to kill the process.
 func (n *Node) drain(ctx context.Context) {
@@ -326,7 +323,7 @@
 	for ctx.Err() == nil {
 		waited := n.timer.Now().Sub(start)
 		if waited >= closeIdleAfter {
-			n.callers.SetKeepAlivesEnabled(false)
+			n.callerConns.closeIdle()
 		}
 		if waited >= loadBalancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin {
 			break
