--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strconv"
@@ -126,7 +127,10 @@
 	decisionLog := decision.New(self.Node, log.InfoLevel, clock)
 	loop := placer.New(self.Node, clock)
 	server := &grant.Server{Loop: loop, Timer: clock, Log: decisionLog, RoutingStatus: func() (snipeford.Version, time.Duration, bool) { return 1, n.staleness(), true }}
-	loop.Deliver = func(r placer.PlacementReply) { time.AfterFunc(c.replyDelay, func() { server.Deliver(r) }) }
+	loop.Deliver = server.Deliver
+	if c.replyDelay > 0 {
+		loop.Deliver = func(r placer.PlacementReply) { time.AfterFunc(c.replyDelay, func() { server.Deliver(r) }) }
+	}
 	server.Subscribe = func(_ map[snipeford.Collection]uint64, push func(grant.Rows)) func() {
 		for _, c := range []snipeford.Collection{snipeford.OperatorRows, snipeford.UpstreamRows, snipeford.MemberRows} {
 			push(grant.Rows{Collection: c, Batch: snipeford.Batch{Snapshot: true, Version: 7}})
@@ -188,6 +192,28 @@
 	})
 }
 
+// TestHomeOverLoopback checks that placements by the home also pass over TCP. The home
+// may be late in real time, so that each node gets several tries.
+func TestHomeOverLoopback(t *testing.T) {
+	nodes := cluster{nodes: defaultNodes, loopback: true}.start(t)
+	want := rankedNodes()[0]
+	deadline := time.Now().Add(10 * time.Second)
+	for name, n := range nodes {
+		for i := 0; ; i++ {
+			id := fmt.Sprint("from-", name, "-", i)
+			p, decidedBy := n.client.Place(context.Background(), placementRequest(id))
+			n.client.ReportEnd("s", snipeford.RequestID(id), false, "")
+			if !p.Refused && decidedBy == want {
+				break
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: got placement %+v by %s for 10 s, want one by %s", name, p, decidedBy, want)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+}
+
 // TestNodesAgreeOnHomeOnceConnected checks that nodes that start at the same time
 // agree on a home before the first round of pings. Until they agree, each node
 // places requests without knowing those of the others.
