Log which requests a stop cuts

The log of a stop gave only the number of active requests at its end. It could not tell requests that had waited since before SIGTERM from those that arrived just before the exit, nor whether they had been sent to an upstream.

Each request in progress now has a record of its arrival, its last attempt and the start of its response. A stopping node logs what is left of them.

--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -331,5 +331,6 @@
 		n.timer.Sleep(ctx, activePollInterval)
 	}
 	n.closeCallers(ctx, start)
+	n.relay.LogUnfinished()
 	n.log.Info("node stops", "Active", n.relay.Active(), "WaitedMs", n.timer.Now().Sub(start).Milliseconds())
 }
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -59,7 +59,7 @@
 		s.timeToFirstEvent = now.Sub(s.start)
 		copyHeader(s.w.Header(), x.Header)
 		s.w.Header().Del("Content-Length")
-		s.w.WriteHeader(x.Status)
+		s.writeHead(x.Status)
 	} else {
 		s.maxEventGap = max(s.maxEventGap, now.Sub(s.lastEventAt))
 	}
@@ -76,7 +76,7 @@
 	if !s.headWritten {
 		s.headWritten = true
 		copyHeader(s.w.Header(), x.Header)
-		s.w.WriteHeader(x.Status)
+		s.writeHead(x.Status)
 	}
 	took := s.Timer.Now().Sub(s.start)
 	s.Metrics.Completed(s.route.Kind, s.timeToFirstEvent, took)
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -169,12 +169,18 @@
 	took := c.Timer.Now().Sub(c.start)
 	c.Metrics.Completed(c.route.Kind, took, took)
 	copyHeader(c.w.Header(), resp.header)
-	c.w.WriteHeader(resp.status)
+	c.writeHead(resp.status)
 	if _, err := c.w.Write(resp.body); err != nil {
 		c.Log.Decided("caller disconnected before the response was written", c.head.RequestID, "Error", err)
 	}
 }
 
+// writeHead writes the status and the header.
+func (c *requestState) writeHead(status int) {
+	c.progress.startResponse()
+	c.w.WriteHeader(status)
+}
+
 // hopByHopHeaders apply to a single connection and are not passed on.
 var hopByHopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
 
--- a/internal/request/relay/refuse.go
+++ b/internal/request/relay/refuse.go
@@ -68,7 +68,7 @@
 		// seconds.
 		header.Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds(), 'f', 2, 64))
 	}
-	c.w.WriteHeader(f.status)
+	c.writeHead(f.status)
 	body := struct {
 		Cause   snipeford.Cause
 		Outcome snipeford.Outcome
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -87,7 +87,7 @@
 	// which an unknown service or key is reported as such.
 	MaxKeyAge      time.Duration
 	MaxNegativeAge time.Duration
-	active         atomic.Int64
+	unfinished     unfinished
 	// leavingAt is when Leave was called, or zero.
 	leavingAt atomic.Int64
 }
@@ -128,7 +128,7 @@
 }
 
 // Active returns the number of requests in progress.
-func (s *Server) Active() int64 { return s.active.Load() }
+func (s *Server) Active() int64 { return s.unfinished.count() }
 
 // requestState is the state of one request.
 type requestState struct {
@@ -153,13 +153,15 @@
 	excluded          []snipeford.UpstreamID
 	// lastResponse is the response of the last upstream that failed the request.
 	lastResponse *response
+	progress     progress
 }
 
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.active.Add(1)
-	defer s.active.Add(-1)
 	c := &requestState{Server: s, w: w, r: r, head: s.Codec.DecodeCall(r.Header), view: s.View(), start: s.Timer.Now()}
+	c.progress.id, c.progress.start = c.head.RequestID, c.start
+	s.unfinished.add(&c.progress)
+	defer s.unfinished.remove(&c.progress)
 	if s.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
@@ -293,6 +295,7 @@
 // upstreamRequest builds the request to an upstream.
 func (c *requestState) upstreamRequest(a snipeford.AttemptHeader) connection.Request {
 	a.Organisation, a.TimeLeft = c.org, c.timeLeft()
+	c.progress.sent(c.Timer.Now())
 	return connection.Request{
 		ID: c.head.RequestID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Header: c.Codec.EncodeAttempt(c.r.Header, a), Body: c.body,
