Announce the close in responses to requests from before a stop

The response to a request that arrived before SIGTERM left its connection open, because the handler decided at the arrival whether to close it. The node closed the connection as idle later, possibly while the caller's next request was on its way.

Whether the connection closes is now decided when the response's header is written.

--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -175,9 +175,13 @@
 	}
 }
 
-// writeHead writes the status and the header.
+// writeHead writes the status and the header. The response of a leaving node closes
+// its connection.
 func (c *requestState) writeHead(status int) {
 	c.progress.startResponse()
+	if c.Leaving() {
+		c.w.Header().Set("Connection", "close")
+	}
 	c.w.WriteHeader(status)
 }
 
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -162,9 +162,6 @@
 	c.progress.id, c.progress.start = c.head.RequestID, c.start
 	s.unfinished.add(&c.progress)
 	defer s.unfinished.remove(&c.progress)
-	if s.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
 	if refusal := c.admit(); refusal != nil {
 		c.refuse(refusal)
 		return
