Answer every request without a response before a stop ends

Callers of a node that stopped got a closed connection instead of a response: the drain ended 0.4 s before the kill, and http.Server.Close then cut whatever was active. Requests that waited in a home's queue since before SIGTERM or soon after it, or whose upstream had not responded, were never answered, although nothing had been written to them. No part of the drain ended requests; it only waited for them.

The relay now keeps the requests in progress, and 0.4 s before the connections are closed it ends those whose response has not begun: with 503 if no upstream can have run the request, with 504 otherwise. This includes requests whose body is still arriving. A response that has begun is not touched, so running streams continue as long as before.

--- a/internal/operate/edge/drain_test.go
+++ b/internal/operate/edge/drain_test.go
@@ -189,8 +189,9 @@
 func (queuePlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, bool, snipeford.UpstreamID) {
 }
 
-// stoppingNode is a node with the routes /stream/ and /plain/. The home of the stream's
-// service queues all requests. The plain service has the upstream "u" if it has an address.
+// stoppingNode is a node with the routes /stream/, /plain/ and /events/, which is a
+// stream too. The home of the service stream queues all requests. The other services
+// have no home, and the upstream "u" if it has an address.
 type stoppingNode struct {
 	*Node
 	balancer *stubBalancer
@@ -206,14 +207,16 @@
 		}
 	}
 	view := &directory.View{Listed: true, Usable: map[snipeford.ServiceName][]directory.Upstream{}, Plan: plan.New(snipeford.Routing{
-		Version: 1, Routes: []snipeford.Route{route("stream", snipeford.RouteStream), route("plain", snipeford.RouteUnsafe)},
-		Services: []snipeford.ServiceProfile{{Name: "stream", Engine: &snipeford.EngineProfile{Slots: 1, PrefillRate: 1, PrefillChunk: 1, DecodeStepsPerPass: 1, Memory: 1}}, {Name: "plain"}},
+		Version: 1, Routes: []snipeford.Route{route("stream", snipeford.RouteStream), route("plain", snipeford.RouteUnsafe), route("events", snipeford.RouteStream)},
+		Services: []snipeford.ServiceProfile{{Name: "stream", Engine: &snipeford.EngineProfile{Slots: 1, PrefillRate: 1, PrefillChunk: 1, DecodeStepsPerPass: 1, Memory: 1}}, {Name: "plain"}, {Name: "events"}},
 	})}
 	clock := &timer.Clock{}
 	s := &stoppingNode{balancer: &stubBalancer{}}
 	if upstreamAddress != "" {
 		s.balancer.upstream = "u"
-		view.Usable["plain"] = []directory.Upstream{{Upstream: snipeford.Upstream{ID: "u", Address: upstreamAddress}}}
+		for _, service := range []snipeford.ServiceName{"plain", "events"} {
+			view.Usable[service] = []directory.Upstream{{Upstream: snipeford.Upstream{ID: "u", Address: upstreamAddress}}}
+		}
 	}
 	s.Node = New(settings.Edge{Node: "n", LogLevel: "info", StopGrace: stopGrace, RevocationBound: time.Hour, ConfigurationBound: time.Hour},
 		clock, metrics.NewRegistry(), &span.Provider{}, Platform{HeaderCodec: stubCodec{}})
@@ -306,6 +309,20 @@
 	}
 }
 
+// receiveRequest accepts a connection at an upstream and reads a request from it.
+func receiveRequest(t *testing.T, upstream net.Listener) net.Conn {
+	t.Helper()
+	c, err := upstream.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // TestSentRequestCutAtStop guards against requests whose upstream has not responded
 // when the node exits, and whose connections are closed without a response.
 func TestSentRequestCutAtStop(t *testing.T) {
@@ -318,14 +335,7 @@
 	s := startNode(t, grace, upstream.Addr().String())
 	c := s.dial(t)
 	sendText(t, c, "POST /plain/ HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
-	received, err := upstream.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = received.Close() })
-	if _, err := http.ReadRequest(bufio.NewReader(received)); err != nil {
-		t.Fatal(err)
-	}
+	receiveRequest(t, upstream)
 	begin := time.Now()
 	stopped := s.stop()
 	assertStatus(t, c, http.StatusGatewayTimeout)
@@ -426,3 +436,36 @@
 		<-stopped
 	})
 }
+
+// TestRunningStreamCutBeforeExit guards against a running stream that a stopping node
+// breaks off earlier than it has to.
+func TestRunningStreamCutBeforeExit(t *testing.T) {
+	upstream, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = upstream.Close() })
+	const grace = 1500 * time.Millisecond
+	s := startNode(t, grace, upstream.Addr().String())
+	c := s.dial(t)
+	sendText(t, c, "GET /events/ HTTP/1.1\r\nHost: h\r\n\r\n")
+	received := receiveRequest(t, upstream)
+	sendText(t, received, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndata: 1\n\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	event := make([]byte, len("data: 1\n\n"))
+	if _, err := io.ReadFull(resp.Body, event); err != nil {
+		t.Fatal(err)
+	}
+	begin := time.Now()
+	stopped := s.stop()
+	time.Sleep(grace - killMargin - 100*time.Millisecond)
+	sendText(t, received, "9\r\ndata: 2\n\n\r\n0\r\n\r\n")
+	if got, err := io.ReadAll(resp.Body); string(got) != "data: 2\n\n" || err != nil {
+		t.Errorf("got %q %v, want the rest of the stream", got, err)
+	}
+	assertStoppedWithin(t, stopped, begin, grace)
+}
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -61,7 +61,8 @@
 	// activePollInterval is how often a draining node checks for active requests.
 	activePollInterval = 50 * time.Millisecond
 	// lastRequestTime is how long a stopping node waits, after it has closed its
-	// listener, for requests that have begun to arrive.
+	// listener, for requests that have begun to arrive and for responses that are being
+	// written.
 	lastRequestTime = 400 * time.Millisecond
 	// sweepInterval is how often the pool of idle connections is swept.
 	sweepInterval = 1 * time.Second
@@ -135,6 +136,7 @@
 		Metrics: counts, Log: n.log, Tracer: spans.Tracer(),
 		MaxKeyAge:      time.Duration(maxKeyAgeFraction * float64(s.RevocationBound)),
 		MaxNegativeAge: time.Duration(maxNegativeAgeFraction * float64(s.ConfigurationBound)),
+		DrainTimeout:   s.StopGrace - killMargin - lastRequestTime,
 	}
 	return n
 }
@@ -325,7 +327,7 @@
 		if waited >= closeIdleAfter {
 			n.callerConns.closeIdle()
 		}
-		if waited >= loadBalancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin {
+		if waited >= loadBalancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin-lastRequestTime {
 			break
 		}
 		n.timer.Sleep(ctx, activePollInterval)
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -36,13 +36,17 @@
 		}
 		if !s.writeEvent(x, e) {
 			s.reportEnd(p, false, "")
+			if !s.headWritten {
+				return false
+			}
 			s.abort("caller cannot be written to", s.ctx.Err())
 		}
 	}
 }
 
 // writeEvent passes on one event, unless the caller has received it already. It
-// returns false if the caller cannot be written to.
+// returns false if the caller cannot be written to, or if the request ended before its
+// first event.
 func (s *streamRequest) writeEvent(x *connection.Exchange, e event.Event) bool {
 	if n, err := strconv.ParseInt(e.ID, 10, 64); err == nil {
 		if n <= s.lastEventNumber {
@@ -55,6 +59,9 @@
 	}
 	now := s.Timer.Now()
 	if !s.headWritten {
+		if !s.progress.startResponse() {
+			return false
+		}
 		s.headWritten = true
 		s.timeToFirstEvent = now.Sub(s.start)
 		copyHeader(s.w.Header(), x.Header)
--- a/internal/request/relay/refuse.go
+++ b/internal/request/relay/refuse.go
@@ -41,6 +41,15 @@
 	return &refusal{status: http.StatusGatewayTimeout, cause: snipeford.CauseDeadline}
 }
 
+// leaving returns the refusal of a node that is leaving: 503 if no upstream can have
+// run the request, so that the caller may retry, and 504 otherwise.
+func (c *requestState) leaving() *refusal {
+	if c.possibleRuns == 0 {
+		return &refusal{status: http.StatusServiceUnavailable, cause: snipeford.CauseNodeLeaving, retryAfter: leavingRetryAfter}
+	}
+	return &refusal{status: http.StatusGatewayTimeout, cause: snipeford.CauseNodeLeaving}
+}
+
 // outcome returns whether an upstream may have run the request.
 func (c *requestState) outcome() snipeford.Outcome {
 	if c.possibleRuns == 0 {
@@ -88,15 +97,20 @@
 	panic(http.ErrAbortHandler)
 }
 
-// finishIfDone reports whether the request's context has ended. At the deadline
-// it writes the refusal; if the caller disconnected, it aborts the handler.
+// finishIfDone reports whether the request's context has ended. At the deadline and
+// at the end of a drain it writes the refusal; if the caller disconnected, it aborts
+// the handler.
 func (c *requestState) finishIfDone() bool {
 	if c.ctx.Err() == nil {
 		return false
 	}
-	if errors.Is(context.Cause(c.ctx), errDeadline) {
+	switch cause := context.Cause(c.ctx); {
+	case errors.Is(cause, errDeadline):
 		c.refuse(c.deadlineExceeded())
 		return true
+	case errors.Is(cause, errLeaving):
+		c.refuse(c.leaving())
+		return true
 	}
 	c.Log.Decided("caller disconnected", c.head.RequestID, "TookMs", c.Timer.Now().Sub(c.start).Milliseconds())
 	// The caller has closed its connection, so no response can be written.
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -87,7 +87,10 @@
 	// which an unknown service or key is reported as such.
 	MaxKeyAge      time.Duration
 	MaxNegativeAge time.Duration
-	unfinished     unfinished
+	// DrainTimeout is the time from Leave until requests without a response are ended.
+	// Zero means no limit.
+	DrainTimeout time.Duration
+	unfinished   unfinished
 	// leavingAt is when Leave was called, or zero.
 	leavingAt atomic.Int64
 }
@@ -107,9 +110,15 @@
 	defaultRetryAfter = 300 * time.Millisecond
 )
 
-// Leave starts draining: the next response on each connection closes it, and
-// new streams are refused after leavingStreamPeriod.
-func (s *Server) Leave() { s.leavingAt.Store(int64(max(s.Timer.Now(), 1))) }
+// Leave starts draining: the next response on each connection closes it, new streams
+// are refused after leavingStreamPeriod, and requests without a response get an error
+// response after DrainTimeout.
+func (s *Server) Leave() {
+	s.leavingAt.Store(int64(max(s.Timer.Now(), 1)))
+	if s.DrainTimeout > 0 {
+		s.Timer.StartWatchdog(s.DrainTimeout, s.unfinished.end)
+	}
+}
 
 // Leaving reports whether Leave was called.
 func (s *Server) Leaving() bool { return s.leavingAt.Load() > 0 }
@@ -159,14 +168,17 @@
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &requestState{Server: s, w: w, r: r, head: s.Codec.DecodeCall(r.Header), view: s.View(), start: s.Timer.Now()}
-	c.progress.id, c.progress.start = c.head.RequestID, c.start
+	ctx, end := context.WithCancelCause(r.Context())
+	defer end(nil)
+	c.ctx = ctx
+	c.progress.id, c.progress.start, c.progress.cancel = c.head.RequestID, c.start, func() { c.cancel(end) }
 	s.unfinished.add(&c.progress)
 	defer s.unfinished.remove(&c.progress)
 	if refusal := c.admit(); refusal != nil {
 		c.refuse(refusal)
 		return
 	}
-	traced, span := s.Tracer.Start(r.Context(), "entry")
+	traced, span := s.Tracer.Start(c.ctx, "entry")
 	defer span.End()
 	ctx, cancel := context.WithTimeoutCause(traced, c.deadline.Sub(c.start), errDeadline)
 	defer cancel()
@@ -174,10 +186,22 @@
 	c.serve()
 }
 
+// cancel ends the request's context with errLeaving, and the wait for its body.
+func (c *requestState) cancel(end context.CancelCauseFunc) {
+	end(errLeaving)
+	if err := http.NewResponseController(c.w).SetReadDeadline(c.Timer.Deadline(0)); err != nil {
+		c.Log.Decided("no read deadline", c.head.RequestID, "Error", err)
+	}
+}
+
 // errDeadline is the cancellation cause of a context whose request reached its
 // deadline.
 var errDeadline = errors.New("request deadline exceeded")
 
+// errLeaving is the cancellation cause of a context whose request has no response at
+// the end of the drain.
+var errLeaving = errors.New("node is leaving")
+
 // admit resolves the route, the organisation and the deadline, and reads the
 // body.
 func (c *requestState) admit() *refusal {
@@ -192,7 +216,7 @@
 		return refusal
 	}
 	if c.route.Kind == snipeford.RouteStream && c.refusesStreams() {
-		return &refusal{status: http.StatusServiceUnavailable, cause: snipeford.CauseNodeLeaving, retryAfter: leavingRetryAfter}
+		return c.leaving()
 	}
 	timeout := c.head.Timeout
 	if timeout <= 0 {
@@ -252,6 +276,8 @@
 	switch {
 	case errors.As(err, &tooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, cause: snipeford.CauseTooLarge}
+	case errors.Is(context.Cause(c.ctx), errLeaving):
+		return c.leaving()
 	case err != nil:
 		c.Log.Decided("could not read request body", c.head.RequestID, "Error", err)
 		return &refusal{status: http.StatusBadRequest, cause: snipeford.CauseBadRequest}
