Refuse requests that may outlast a stopping node

A stopping node accepted requests for as long as an older one was active, up to the end of the drain, and then cut them. A caller's request reached a node 7.5 s after SIGTERM, was sent to an upstream, and its connection was closed without a response 0.1 s later. Each accepted request also prolonged the stop. The load balancer keeps sending callers to a stopping node when too few nodes of a failure domain are ready.

From 2.7 s after SIGTERM, when the load balancer has noticed, new requests get 503 with Connection: close and a short Retry-After before they are sent or queued, as streams already did, unless their own deadline is before the end of the drain. At the end of the drain all new requests are refused. A placement request carries the time until then, so that the home does not queue what the node cannot wait for.

TestStoppingNodeTakesRequests failed before (1 request passed on, want 0), as did TestHomeGetsTimeUntilExit (10 s left, want at most 6 s); both pass 20 times of 20 with -race.

--- a/internal/operate/edge/drain_test.go
+++ b/internal/operate/edge/drain_test.go
@@ -177,16 +177,20 @@
 func (*stubBalancer) CountRequest(snipeford.ServiceName)    {}
 func (*stubBalancer) AllowRetry(snipeford.ServiceName) bool { return false }
 
-// queuePlacer is a Placer that queues each request until its context ends.
-type queuePlacer struct{}
+// queuePlacer is a Placer that queues each request until its context ends. It holds the
+// last request.
+type queuePlacer struct {
+	last atomic.Pointer[snipeford.PlacementRequest]
+}
 
-func (queuePlacer) Place(ctx context.Context, r snipeford.PlacementRequest) (snipeford.Placement, snipeford.NodeID) {
+func (p *queuePlacer) Place(ctx context.Context, r snipeford.PlacementRequest) (snipeford.Placement, snipeford.NodeID) {
+	p.last.Store(&r)
 	<-ctx.Done()
 	return snipeford.Placement{RequestID: r.RequestID, Refused: true}, "n"
 }
-func (queuePlacer) ReportFirstEvent(snipeford.ServiceName, snipeford.RequestID, snipeford.EngineLoad) {
+func (*queuePlacer) ReportFirstEvent(snipeford.ServiceName, snipeford.RequestID, snipeford.EngineLoad) {
 }
-func (queuePlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, bool, snipeford.UpstreamID) {
+func (*queuePlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, bool, snipeford.UpstreamID) {
 }
 
 // stoppingNode is a node with the routes /stream/, /plain/ and /events/, which is a
@@ -195,6 +199,7 @@
 type stoppingNode struct {
 	*Node
 	balancer *stubBalancer
+	placer   *queuePlacer
 	network  pipe.Network
 }
 
@@ -211,7 +216,7 @@
 		Services: []snipeford.ServiceProfile{{Name: "stream", Engine: &snipeford.EngineProfile{Slots: 1, PrefillRate: 1, PrefillChunk: 1, DecodeStepsPerPass: 1, Memory: 1}}, {Name: "plain"}, {Name: "events"}},
 	})}
 	clock := &timer.Clock{}
-	s := &stoppingNode{balancer: &stubBalancer{}}
+	s := &stoppingNode{balancer: &stubBalancer{}, placer: &queuePlacer{}}
 	if upstreamAddress != "" {
 		s.balancer.upstream = "u"
 		for _, service := range []snipeford.ServiceName{"plain", "events"} {
@@ -221,7 +226,7 @@
 	s.Node = New(settings.Edge{Node: "n", LogLevel: "info", StopGrace: stopGrace, RevocationBound: time.Hour, ConfigurationBound: time.Hour},
 		clock, metrics.NewRegistry(), &span.Provider{}, Platform{HeaderCodec: stubCodec{}})
 	s.tracker.AdvanceTo(clock.SinceBoot())
-	s.relay.View, s.relay.Placer, s.relay.Balancer = func() *directory.View { return view }, queuePlacer{}, s.balancer
+	s.relay.View, s.relay.Placer, s.relay.Balancer = func() *directory.View { return view }, s.placer, s.balancer
 	group, ctx := errgroup.WithContext(t.Context())
 	s.serveCallers(ctx, group, s.network.Listen("callers"), s.relay)
 	t.Cleanup(func() {
@@ -469,3 +474,21 @@
 	}
 	assertStoppedWithin(t, stopped, begin, grace)
 }
+
+// TestHomeGetsTimeUntilExit guards against a home that queues a request, or places it,
+// for longer than the stopping node that asks for it can wait.
+func TestHomeGetsTimeUntilExit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := startNode(t, testGrace, "")
+		c := s.dial(t)
+		stopped := s.stop()
+		time.Sleep(2 * time.Second)
+		sendText(t, c, "GET /stream/ HTTP/1.1\r\nHost: h\r\n\r\n")
+		synctest.Wait()
+		if got, want := s.placer.last.Load().TimeLeft, testGrace-2*time.Second; got > want {
+			t.Errorf("got %v left in the placement request, want at most %v", got, want)
+		}
+		assertStatus(t, c, http.StatusServiceUnavailable)
+		<-stopped
+	})
+}
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -110,9 +111,9 @@
 	defaultRetryAfter = 300 * time.Millisecond
 )
 
-// Leave starts draining: the next response on each connection closes it, new streams
-// are refused after leavingStreamPeriod, and requests without a response get an error
-// response after DrainTimeout.
+// Leave starts draining: the next response on each connection closes it, new requests
+// that may not end in time are refused after leavingPeriod, and requests without a
+// response get an error response after DrainTimeout.
 func (s *Server) Leave() {
 	s.leavingAt.Store(int64(max(s.Timer.Now(), 1)))
 	if s.DrainTimeout > 0 {
@@ -123,17 +124,33 @@
 // Leaving reports whether Leave was called.
 func (s *Server) Leaving() bool { return s.leavingAt.Load() > 0 }
 
-// leavingStreamPeriod is how long after Leave the node still accepts new
-// streams. Later streams might not end before the process exits. By then the
-// load balancer in front of the nodes knows that this node is leaving, so that
-// callers who retry reach another node.
-const leavingStreamPeriod = 2700 * time.Millisecond
+// leavingPeriod is how long after Leave the node accepts all new requests. Later ones
+// might not end before the process exits. By then the load balancer in front of the
+// nodes knows that this node is leaving, so that callers who retry reach another node.
+const leavingPeriod = 2700 * time.Millisecond
 
-// refusesStreams reports whether the node is too close to its exit to accept a
-// new stream.
-func (s *Server) refusesStreams() bool {
+// refusesNew reports whether the node is too close to its exit to accept a new request:
+// a stream, or one whose deadline is after the end of the drain.
+func (s *Server) refusesNew(kind snipeford.RouteKind, deadline snipeford.Instant) bool {
 	at := snipeford.Instant(s.leavingAt.Load())
-	return at > 0 && s.Timer.Now().Sub(at) > leavingStreamPeriod
+	if at == 0 {
+		return false
+	}
+	now, drainEnd := s.Timer.Now(), s.drainEnd()
+	if now >= drainEnd {
+		return true
+	}
+	return now.Sub(at) > leavingPeriod && (kind == snipeford.RouteStream || deadline > drainEnd)
+}
+
+// drainEnd returns when requests without a response are ended, which is never unless
+// the node is leaving.
+func (s *Server) drainEnd() snipeford.Instant {
+	at := snipeford.Instant(s.leavingAt.Load())
+	if at == 0 || s.DrainTimeout == 0 {
+		return math.MaxInt64
+	}
+	return at.Add(s.DrainTimeout)
 }
 
 // Active returns the number of requests in progress.
@@ -215,9 +232,6 @@
 	if refusal := c.authenticate(); refusal != nil {
 		return refusal
 	}
-	if c.route.Kind == snipeford.RouteStream && c.refusesStreams() {
-		return c.leaving()
-	}
 	timeout := c.head.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -226,6 +240,9 @@
 		timeout = min(timeout, c.route.Timeout)
 	}
 	c.deadline = c.start.Add(timeout)
+	if c.refusesNew(c.route.Kind, c.deadline) {
+		return c.leaving()
+	}
 	return c.readBody()
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -99,7 +99,7 @@
 		Prompt: s.head.Prompt, ExpectedOutput: s.expectedOutput(),
 		FirstEventTarget: s.nextEventTarget(), EventGapTarget: s.route.EventGapTarget,
 		StreamIdleTimeout: s.route.StreamIdleTimeout(), FirstEventTimeout: s.route.StreamIdleTimeout() - s.idleTime(),
-		TimeLeft: s.timeLeft(), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
+		TimeLeft: min(s.timeLeft(), s.drainEnd().Sub(s.Timer.Now())), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
 	})
 	if p.Refused {
 		s.Log.Decided("no place", s.head.RequestID, "By", by, "PromptTokens", s.head.Prompt)
