Answer a request that is read while its idle connection is closed

When a stopping node closed an idle connection in the instant in which a request arrived, callerConn.Read discarded the data that it had just read, and the caller got a closed connection instead of a response.

Idle connections are now closed by a read deadline. Either the read fails, and http.Server closes the connection with nothing read from it, or the read returns the data, and http.Server replaces the deadline and serves the request.

--- a/internal/operate/edge/callers.go
+++ b/internal/operate/edge/callers.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 )
@@ -20,19 +21,15 @@
 // callerConn is a connection that knows whether it is idle.
 type callerConn struct {
 	net.Conn
-	mu     sync.Mutex
-	idle   bool
-	closed bool
+	mu   sync.Mutex
+	idle bool
 }
 
-// Read returns net.ErrClosed instead of data that arrives after closeIfIdle.
+// Read marks the connection as not idle if it returns data.
 func (c *callerConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed {
-		return 0, net.ErrClosed
-	}
 	if n > 0 {
 		c.idle = false
 	}
@@ -54,15 +51,16 @@
 	c.idle = true
 }
 
-// closeIfIdle closes the connection unless part of a request has been read from it
-// since its last response, or since it was opened.
-func (c *callerConn) closeIfIdle() {
+// closeIfIdle ends the wait for the next request, so that http.Server closes the
+// connection, unless part of a request has been read since the last response. If data
+// was read in this instant, Read still returns it, and http.Server sets a new deadline
+// for the rest of the request. The deadline must therefore be set before Read returns.
+func (c *callerConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle && !c.closed {
-		c.closed = true
-		// The connection is no longer used, so an error does not matter.
-		_ = c.Conn.Close()
+	if c.idle {
+		// If this fails, the connection is closed already.
+		_ = c.SetReadDeadline(now)
 	}
 }
 
@@ -113,8 +111,9 @@
 	return len(l.conns)
 }
 
-// closeIdle closes the idle connections.
-func (l *callerConns) closeIdle() {
+// closeIdle closes the idle connections. It can miss one that has just become idle,
+// because http.Server then sets a deadline of its own; the next call closes that one.
+func (l *callerConns) closeIdle(now time.Time) {
 	l.mu.Lock()
 	conns := make([]*callerConn, 0, len(l.conns))
 	for _, c := range l.conns {
@@ -122,6 +121,6 @@
 	}
 	l.mu.Unlock()
 	for _, c := range conns {
-		c.closeIfIdle()
+		c.closeIfIdle(now)
 	}
 }
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -308,7 +308,7 @@
 	killedAt := start.Add(n.settings.StopGrace - killMargin)
 	arrivalsEnd := min(n.timer.Now().Add(lastRequestTime), killedAt)
 	for n.callerConns.open() > 0 && n.timer.Sleep(ctx, activePollInterval) {
-		n.callerConns.closeIdle()
+		n.callerConns.closeIdle(n.timer.Deadline(0))
 		now := n.timer.Now()
 		if now >= killedAt || now >= arrivalsEnd && n.relay.Active() == 0 {
 			return
@@ -325,7 +325,7 @@
 	for ctx.Err() == nil {
 		waited := n.timer.Now().Sub(start)
 		if waited >= closeIdleAfter {
-			n.callerConns.closeIdle()
+			n.callerConns.closeIdle(n.timer.Deadline(0))
 		}
 		if waited >= loadBalancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin-lastRequestTime {
 			break
