--- a/internal/request/relay/reservation.go
+++ b/internal/request/relay/reservation.go
@@ -111,7 +111,8 @@
 }
 
 // checkUse cancels the attempt if an engine does not use its reserved memory.
-// The request is stuck then, and other requests need the memory.
+// The request is stuck then, and other requests need the memory. An engine that
+// does not answer says nothing about a stream that has events.
 func (r *reservation) checkUse(ctx context.Context, cancelAttempt context.CancelCauseFunc) {
 	defer r.done.Done()
 	if !r.request.Timer.Sleep(ctx, useCheckDelay) {
@@ -122,6 +123,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil && r.request.progress.isResponding() {
+			continue
+		}
 		if err != nil || !used {
 			r.request.Log.Decided("reserved memory is not in use", r.request.head.RequestID, "Upstream", u.ID, "Error", err)
 			cancelAttempt(errNoProgress)
--- a/internal/request/relay/unfinished.go
+++ b/internal/request/relay/unfinished.go
@@ -89,6 +89,12 @@
 	return !p.ended
 }
 
+func (p *progress) isResponding() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.responding
+}
+
 func (p *progress) end() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
