Do not close connections on which a request is arriving in snipeford serve

A node of snipeford serve that stopped called http.Server.Shutdown for its listeners. Shutdown takes a kept connection for idle until the whole header of the next request has been parsed, and closes it: the caller's request is cut without a response, or runs without one. The same holds for requests that peers forward.

The tracking of connections moves from package edge to package drain, whose Shutdown closes only connections from which no part of a request has been read.

--- a/internal/operate/edge/drain_test.go
+++ b/internal/operate/edge/drain_test.go
@@ -124,7 +124,7 @@
 			return &arrivalListener{l, func() {
 				requests++
 				if requests == 2 {
-					n.callerConns.closeIdle(time.Now())
+					n.callerConns.CloseIdle(time.Now())
 				}
 			}}
 		}
@@ -411,7 +411,7 @@
 			return &arrivalListener{l, func() {
 				requests++
 				if requests == 2 {
-					n.callerConns.closeIdle(time.Now())
+					n.callerConns.CloseIdle(time.Now())
 				}
 			}}
 		}
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -27,6 +27,7 @@
 	"snipeford/internal/control/timer"
 	"snipeford/internal/fleet/grant"
 	"snipeford/internal/operate/decision"
+	"snipeford/internal/operate/drain"
 	"snipeford/internal/operate/metric"
 	"snipeford/internal/operate/settings"
 	"snipeford/internal/operate/span"
@@ -58,12 +59,10 @@
 	closeIdleAfter = 2300 * time.Millisecond
 	// killMargin is how long before the platform kills the process the drain ends.
 	killMargin = 400 * time.Millisecond
-	// activePollInterval is how often a draining node checks for active requests.
-	activePollInterval = 50 * time.Millisecond
-	// lastRequestTime is how long a stopping node waits, after it has closed its
-	// listener, for requests that have begun to arrive and for responses that are being
-	// written.
-	lastRequestTime = 400 * time.Millisecond
+	// lastResponseTime is how long before the end of a stop requests without a response
+	// are ended and the listener is closed. The responses are written in this time, and
+	// requests that have begun to arrive are refused.
+	lastResponseTime = 400 * time.Millisecond
 	// sweepInterval is how often the pool of idle connections is swept.
 	sweepInterval = 1 * time.Second
 	// maxKeyAgeFraction is the fraction of the revocation bound up to which the known
@@ -105,7 +104,7 @@
 	// callers serves the callers on callerListener, with the connections callerConns.
 	callers        *http.Server
 	callerListener net.Listener
-	callerConns    callerConns
+	callerConns    drain.Conns
 }
 
 // New assembles a node from its settings. It registers the node's metrics in
@@ -136,7 +135,7 @@
 		Metrics: counts, Log: n.log, Tracer: spans.Tracer(),
 		MaxKeyAge:      time.Duration(maxKeyAgeFraction * float64(s.RevocationBound)),
 		MaxNegativeAge: time.Duration(maxNegativeAgeFraction * float64(s.ConfigurationBound)),
-		DrainTimeout:   s.StopGrace - killMargin - lastRequestTime,
+		DrainTimeout:   s.StopGrace - killMargin - lastResponseTime,
 	}
 	return n
 }
@@ -217,8 +216,8 @@
 
 func (n *Node) serveCallers(ctx context.Context, group *errgroup.Group, listener net.Listener, handler http.Handler) {
 	n.callers = newServer(handler)
-	n.callers.ConnState = n.callerConns.stateChanged
-	n.callerListener = n.callerConns.wrap(listener)
+	n.callers.ConnState = n.callerConns.StateChanged
+	n.callerListener = n.callerConns.Wrap(listener)
 	serve(ctx, group, n.callerListener, n.callers)
 }
 
@@ -306,9 +305,9 @@
 		n.log.Warn("cannot close the callers' listener", err)
 	}
 	killedAt := start.Add(n.settings.StopGrace - killMargin)
-	arrivalsEnd := min(n.timer.Now().Add(lastRequestTime), killedAt)
-	for n.callerConns.open() > 0 && n.timer.Sleep(ctx, activePollInterval) {
-		n.callerConns.closeIdle(n.timer.Deadline(0))
+	arrivalsEnd := min(n.timer.Now().Add(drain.ArrivalTime), killedAt)
+	for n.callerConns.Open() > 0 && n.timer.Sleep(ctx, drain.PollInterval) {
+		n.callerConns.CloseIdle(n.timer.Deadline(0))
 		now := n.timer.Now()
 		if now >= killedAt || now >= arrivalsEnd && n.relay.Active() == 0 {
 			return
@@ -325,12 +324,12 @@
 	for ctx.Err() == nil {
 		waited := n.timer.Now().Sub(start)
 		if waited >= closeIdleAfter {
-			n.callerConns.closeIdle(n.timer.Deadline(0))
+			n.callerConns.CloseIdle(n.timer.Deadline(0))
 		}
-		if waited >= loadBalancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin-lastRequestTime {
+		if waited >= loadBalancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin-lastResponseTime {
 			break
 		}
-		n.timer.Sleep(ctx, activePollInterval)
+		n.timer.Sleep(ctx, drain.PollInterval)
 	}
 	n.closeCallers(ctx, start)
 	n.relay.LogUnfinished()
--- a/internal/operate/node/node.go
+++ b/internal/operate/node/node.go
@@ -26,6 +26,7 @@
 	"snipeford/internal/fleet/message"
 	"snipeford/internal/fleet/peer"
 	"snipeford/internal/operate/administration"
+	"snipeford/internal/operate/drain"
 	"snipeford/internal/operate/metric"
 	"snipeford/internal/operate/record"
 	"snipeford/internal/operate/settings"
@@ -202,30 +203,39 @@
 	return group.Wait()
 }
 
-func (n *Node) listen(group *errgroup.Group, address string, handler http.Handler) (*http.Server, error) {
+// server is an HTTP server with its listener and connections.
+type server struct {
+	*http.Server
+	listener net.Listener
+	conns    drain.Conns
+}
+
+func (n *Node) listen(group *errgroup.Group, address string, handler http.Handler) (*server, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", trace.ConvertSystemError(err))
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 1 << 20}
+	s := &server{}
+	s.listener = s.conns.Wrap(listener)
+	s.Server = &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: 1 << 20, ConnState: s.conns.StateChanged}
 	group.Go(func() error {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := s.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 			return fmt.Errorf("serve %s: %w", address, trace.Wrap(err))
 		}
 		return nil
 	})
-	return server, nil
+	return s, nil
 }
 
-func (n *Node) drain(callers, peers, operators *http.Server) {
+func (n *Node) drain(callers, peers, operators *server) {
 	n.log.Info("node leaves")
 	n.draining.Store(true)
 	n.loop.Send(reducer.LeaveRequested{})
 	ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
 	defer cancel()
 	n.timer.Sleep(ctx, n.settings.LeaveDelay)
-	for _, server := range []*http.Server{callers, peers} {
-		if err := server.Shutdown(ctx); err != nil {
+	for _, s := range []*server{callers, peers} {
+		if err := s.conns.Shutdown(ctx, n.timer, s.listener, s.Server); err != nil {
 			n.log.Error("server shutdown interrupted active requests", "Error", err)
 		}
 		n.entry.Background.Wait()
@@ -235,7 +245,7 @@
 	if err := n.executor.members.DeleteLease(cleanup, n.self.Node); err != nil {
 		n.log.Warn("cannot delete lease", "Error", err)
 	}
-	if err := operators.Shutdown(cleanup); err != nil {
+	if err := operators.conns.Shutdown(cleanup, n.timer, operators.listener, operators.Server); err != nil {
 		n.log.Warn("cannot shut down operator listener", "Error", err)
 	}
 	if err := n.spans.Close(cleanup); err != nil {
