Give a stream that has begun its whole time at a leaving node

A placement request of a leaving node carries the time until the end of the drain. That bound also applied to streams that are continued at another engine after their response had begun, and which may run until the exit or beyond the drain. Their home refused them earlier than before.

The bound now applies only before the response has begun. TestResumedStreamGetsItsTime failed before (1 s left, want at least 5 s).

--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -99,7 +99,7 @@
 		Prompt: s.head.Prompt, ExpectedOutput: s.expectedOutput(),
 		FirstEventTarget: s.nextEventTarget(), EventGapTarget: s.route.EventGapTarget,
 		StreamIdleTimeout: s.route.StreamIdleTimeout(), FirstEventTimeout: s.route.StreamIdleTimeout() - s.idleTime(),
-		TimeLeft: min(s.timeLeft(), s.drainEnd().Sub(s.Timer.Now())), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
+		TimeLeft: s.placementTimeLeft(), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
 	})
 	if p.Refused {
 		s.Log.Decided("no place", s.head.RequestID, "By", by, "PromptTokens", s.head.Prompt)
@@ -111,6 +111,15 @@
 	return p, nil
 }
 
+// placementTimeLeft returns the time until the deadline or, if the response has not
+// begun, until the end of the drain.
+func (s *streamRequest) placementTimeLeft() time.Duration {
+	if s.headWritten {
+		return s.timeLeft()
+	}
+	return min(s.timeLeft(), s.drainEnd().Sub(s.Timer.Now()))
+}
+
 // idleTime returns the time since the last event, or since the start of the
 // request if there was none.
 func (s *streamRequest) idleTime() time.Duration {
--- a/internal/request/relay/stream_test.go
+++ b/internal/request/relay/stream_test.go
@@ -159,3 +159,15 @@
 		assertRequestCount(t, h, 1)
 	})
 }
+
+// TestResumedStreamGetsItsTime guards against a leaving node that asks its home for too
+// little time to continue a stream, which may last longer than the drain.
+func TestResumedStreamGetsItsTime(t *testing.T) {
+	h := newHarness(t, streamEvents(1, 1, false), streamEvents(2, 3, true))
+	h.relay.DrainTimeout = time.Second
+	h.relay.Leave()
+	assertResponse(t, h.call(t, http.MethodPost, "/quick/x"), 200, eventText(1, 3))
+	if got, min := h.balancer.placed[len(h.balancer.placed)-1].TimeLeft, 5*time.Second; got < min {
+		t.Errorf("got %v left in the placement request, want at least %v", got, min)
+	}
+}
