Let a silent engine go on while the node is leaving

A stream whose engine sends no event for a while is cancelled in order to continue it at another engine. Such a continuation is a new stream for the engine, which a leaving node does not start either.

A leaving node now waits for the engine until the exit. Streams whose engine is gone are continued elsewhere as before.

--- a/internal/request/relay/stream_test.go
+++ b/internal/request/relay/stream_test.go
@@ -160,6 +160,21 @@
 	})
 }
 
+// TestLeavingNodeBreaksOffSilentStream guards against a leaving node that breaks off a
+// stream because its engine is silent for a while and no other engine can continue it.
+func TestLeavingNodeBreaksOffSilentStream(t *testing.T) {
+	pause := func(c net.Conn, r *http.Request) {
+		writeStreamHead(c, r)
+		writeChunk(c, eventText(1, 1))
+		time.Sleep(3 * time.Second)
+		writeChunk(c, eventText(2, 2))
+		fmt.Fprint(c, "0\r\n\r\n")
+	}
+	h := newHarness(t, pause)
+	h.relay.Leave()
+	assertResponse(t, h.call(t, http.MethodPost, "/quick/x"), 200, eventText(1, 2))
+}
+
 // TestResumedStreamGetsItsTime guards against a leaving node that asks its home for too
 // little time to continue a stream, which may last longer than the drain.
 func TestResumedStreamGetsItsTime(t *testing.T) {
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -87,10 +87,15 @@
 
 // watchNextEvent cancels the attempt if its next event does not arrive within
 // limit. If the stream cannot be resumed at another engine, the deadline of the
-// request applies instead.
+// request applies instead. A leaving node does not cancel it: another engine would
+// have to read the prompt again and would hardly end before the process exits.
 func (s *streamRequest) watchNextEvent(limit time.Duration, cancel context.CancelCauseFunc) *timer.Watchdog {
 	if !s.mayRetry() {
 		limit = s.timeLeft()
 	}
-	return s.Timer.StartWatchdog(limit, func() { cancel(errNoProgress) })
+	return s.Timer.StartWatchdog(limit, func() {
+		if !s.Leaving() {
+			cancel(errNoProgress)
+		}
+	})
 }
