--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -8,6 +8,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"sync/atomic"
@@ -87,7 +88,10 @@
 	// which an unknown service or key is reported as such.
 	MaxKeyAge      time.Duration
 	MaxNegativeAge time.Duration
-	active         atomic.Int64
+	// DrainTimeout is the time from Leave until requests without a response are ended.
+	// Zero means no limit.
+	DrainTimeout time.Duration
+	unfinished   unfinished
 	// leavingAt is when Leave was called, or zero.
 	leavingAt atomic.Int64
 }
@@ -107,28 +111,50 @@
 	defaultRetryAfter = 300 * time.Millisecond
 )
 
-// Leave starts draining: the next response on each connection closes it, and
-// new streams are refused after leavingStreamPeriod.
-func (s *Server) Leave() { s.leavingAt.Store(int64(max(s.Timer.Now(), 1))) }
+// Leave starts draining: the next response on each connection closes it, new requests
+// that may not end in time are refused after leavingPeriod, and requests without a
+// response get an error response after DrainTimeout.
+func (s *Server) Leave() {
+	s.leavingAt.Store(int64(max(s.Timer.Now(), 1)))
+	if s.DrainTimeout > 0 {
+		s.Timer.StartWatchdog(s.DrainTimeout, s.unfinished.end)
+	}
+}
 
 // Leaving reports whether Leave was called.
 func (s *Server) Leaving() bool { return s.leavingAt.Load() > 0 }
 
-// leavingStreamPeriod is how long after Leave the node still accepts new
-// streams. Later streams might not end before the process exits. By then the
-// load balancer in front of the nodes knows that this node is leaving, so that
-// callers who retry reach another node.
-const leavingStreamPeriod = 2700 * time.Millisecond
+// leavingPeriod is how long after Leave the node accepts all new requests. Later ones
+// might not end before the process exits. By then the load balancer in front of the
+// nodes knows that this node is leaving, so that callers who retry reach another node.
+const leavingPeriod = 2700 * time.Millisecond
 
-// refusesStreams reports whether the node is too close to its exit to accept a
-// new stream.
-func (s *Server) refusesStreams() bool {
+// refusesNew reports whether the node is too close to its exit to accept a new request:
+// a stream, or one whose deadline is after the end of the drain.
+func (s *Server) refusesNew(kind snipeford.RouteKind, deadline snipeford.Instant) bool {
 	at := snipeford.Instant(s.leavingAt.Load())
-	return at > 0 && s.Timer.Now().Sub(at) > leavingStreamPeriod
+	if at == 0 {
+		return false
+	}
+	now, drainEnd := s.Timer.Now(), s.drainEnd()
+	if now >= drainEnd {
+		return true
+	}
+	return now.Sub(at) > leavingPeriod && (kind == snipeford.RouteStream || deadline > drainEnd)
+}
+
+// drainEnd returns when requests without a response are ended, which is never unless
+// the node is leaving.
+func (s *Server) drainEnd() snipeford.Instant {
+	at := snipeford.Instant(s.leavingAt.Load())
+	if at == 0 || s.DrainTimeout == 0 {
+		return math.MaxInt64
+	}
+	return at.Add(s.DrainTimeout)
 }
 
 // Active returns the number of requests in progress.
-func (s *Server) Active() int64 { return s.active.Load() }
+func (s *Server) Active() int64 { return s.unfinished.count() }
 
 // requestState is the state of one request.
 type requestState struct {
@@ -153,21 +179,23 @@
 	excluded          []snipeford.UpstreamID
 	// lastResponse is the response of the last upstream that failed the request.
 	lastResponse *response
+	progress     progress
 }
 
 // ServeHTTP handles one request.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.active.Add(1)
-	defer s.active.Add(-1)
 	c := &requestState{Server: s, w: w, r: r, head: s.Codec.DecodeCall(r.Header), view: s.View(), start: s.Timer.Now()}
-	if s.Leaving() {
-		w.Header().Set("Connection", "close")
-	}
+	ctx, end := context.WithCancelCause(r.Context())
+	defer end(nil)
+	c.ctx = ctx
+	c.progress.id, c.progress.start, c.progress.cancel = c.head.RequestID, c.start, func() { c.cancel(end) }
+	s.unfinished.add(&c.progress)
+	defer s.unfinished.remove(&c.progress)
 	if refusal := c.admit(); refusal != nil {
 		c.refuse(refusal)
 		return
 	}
-	traced, span := s.Tracer.Start(r.Context(), "entry")
+	traced, span := s.Tracer.Start(c.ctx, "entry")
 	defer span.End()
 	ctx, cancel := context.WithTimeoutCause(traced, c.deadline.Sub(c.start), errDeadline)
 	defer cancel()
@@ -175,10 +203,22 @@
 	c.serve()
 }
 
+// cancel ends the request's context with errLeaving, and the wait for its body.
+func (c *requestState) cancel(end context.CancelCauseFunc) {
+	end(errLeaving)
+	if err := http.NewResponseController(c.w).SetReadDeadline(c.Timer.Deadline(0)); err != nil {
+		c.Log.Decided("no read deadline", c.head.RequestID, "Error", err)
+	}
+}
+
 // errDeadline is the cancellation cause of a context whose request reached its
 // deadline.
 var errDeadline = errors.New("request deadline exceeded")
 
+// errLeaving is the cancellation cause of a context whose request has no response at
+// the end of the drain.
+var errLeaving = errors.New("node is leaving")
+
 // admit resolves the route, the organisation and the deadline, and reads the
 // body.
 func (c *requestState) admit() *refusal {
@@ -192,9 +232,6 @@
 	if refusal := c.authenticate(); refusal != nil {
 		return refusal
 	}
-	if c.route.Kind == snipeford.RouteStream && c.refusesStreams() {
-		return &refusal{status: http.StatusServiceUnavailable, cause: snipeford.CauseNodeLeaving, retryAfter: leavingRetryAfter}
-	}
 	timeout := c.head.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -203,6 +240,9 @@
 		timeout = min(timeout, c.route.Timeout)
 	}
 	c.deadline = c.start.Add(timeout)
+	if c.refusesNew(c.route.Kind, c.deadline) {
+		return c.leaving()
+	}
 	return c.readBody()
 }
 
@@ -253,6 +293,8 @@
 	switch {
 	case errors.As(err, &tooLong):
 		return &refusal{status: http.StatusRequestEntityTooLarge, cause: snipeford.CauseTooLarge}
+	case errors.Is(context.Cause(c.ctx), errLeaving):
+		return c.leaving()
 	case err != nil:
 		c.Log.Decided("could not read request body", c.head.RequestID, "Error", err)
 		return &refusal{status: http.StatusBadRequest, cause: snipeford.CauseBadRequest}
@@ -293,6 +335,7 @@
 // upstreamRequest builds the request to an upstream.
 func (c *requestState) upstreamRequest(a snipeford.AttemptHeader) connection.Request {
 	a.Organisation, a.TimeLeft = c.org, c.timeLeft()
+	c.progress.sent(c.Timer.Now())
 	return connection.Request{
 		ID: c.head.RequestID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
 		Header: c.Codec.EncodeAttempt(c.r.Header, a), Body: c.body,
