Stand-in replicas respond without a length; relays pass resets on

Cause: the stand-in replica sent every response with a length or in chunks, so the soak test never saw one that ends with its connection. A relay closed the other connection after a reset, which makes such a response look complete.

Relays pass resets on.

--- a/cmd/standin/soak/clients.go
+++ b/cmd/standin/soak/clients.go
@@ -150,9 +150,5 @@
 	if route != "once" && route != "stream" {
 		return standin.ResponseBody(id)
 	}
-	var b strings.Builder
-	for n := 1; n <= standin.EventsPerStream; n++ {
-		b.WriteString(standin.Event(id, n))
-	}
-	return b.String()
+	return standin.StreamBody(id, standin.Work{})
 }
--- a/cmd/standin/soak/faults.go
+++ b/cmd/standin/soak/faults.go
@@ -58,15 +58,7 @@
 			n.storeRelay.Restore()
 		}
 	}},
-	{"replica down", func(ctx context.Context, f *fleet, rng *rand.Rand) {
-		r := f.replicas[rng.IntN(len(f.replicas))]
-		r.Down.Store(true)
-		sleepRandom(ctx, rng, 100, 800)
-		f.store.Put("servers", r.ID, nil)
-		sleepRandom(ctx, rng, 200, 1200)
-		r.Down.Store(false)
-		f.store.Put("servers", r.ID, f.replicaRows[r.ID])
-	}},
+	{"replica down", func(ctx context.Context, f *fleet, rng *rand.Rand) { f.takeDown(ctx, rng) }},
 	{"store silent", relayFault(randomStoreRelay, func(w *relay.Relay, _ *rand.Rand) { w.Stall(relay.ToTarget, relay.FromTarget) })},
 	{"store cut one way", relayFault(randomStoreRelay, func(w *relay.Relay, _ *rand.Rand) { w.Stall(relay.FromTarget) })},
 	{"store slow", relayFault(randomStoreRelay, delayRelay)},
@@ -95,9 +87,7 @@
 
 func randomStoreRelay(f *fleet, rng *rand.Rand) *relay.Relay { return f.randomNode(rng).storeRelay }
 
-func randomReplicaRelay(f *fleet, rng *rand.Rand) *relay.Relay {
-	return f.replicaRelays[rng.IntN(len(f.replicaRelays))]
-}
+func randomReplicaRelay(f *fleet, rng *rand.Rand) *relay.Relay { return f.randomUpstream(rng).relay }
 
 // delayRelay delays all bytes by a random time, up to about maxDelayMilliseconds.
 func delayRelay(r *relay.Relay, rng *rand.Rand) {
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -6,7 +6,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -43,16 +42,14 @@
 	plan       Plan
 	clock      *timer.Clock
 	store      *standin.Store
-	runCounter *standin.RunCounter
-	replicas   []*standin.Replica
-	// replicaRelays carry the connections to the replicas, one relay each.
-	replicaRelays []*relay.Relay
-	servers       []*http.Server
-	nodes         []*node
-	// host provides the nodes' addresses, which are fixed across restarts.
+	requestLog *standin.RequestLog
+	upstreams  []*upstreamHost
+	servers    []*http.Server
+	nodes      []*node
+	// host provides the addresses of nodes and replicas, which are fixed across
+	// restarts.
 	host          *loopback.Host
 	replicaFaults *faultSource
-	replicaRows   map[string][]byte
 }
 
 // node is one node's process with the relay for its connections to the store.
@@ -67,28 +64,12 @@
 	stopping      bool
 }
 
-// faultSource chooses at random which fault a replica injects into a request.
-type faultSource struct {
-	mu   sync.Mutex
-	rng  *rand.Rand
-	rate float64
-}
-
-func (s *faultSource) next() standin.Fault {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rng.Float64() >= s.rate {
-		return standin.NoFault
-	}
-	return standin.Fault(1 + s.rng.IntN(4))
-}
-
 // replicaFaultRate is the share of requests into which replicas inject a fault.
 const replicaFaultRate = 0.04
 
 func startFleet(p Plan) (*fleet, error) {
 	clock := &timer.Clock{}
-	f := &fleet{plan: p, clock: clock, store: &standin.Store{Clock: clock}, runCounter: &standin.RunCounter{}, replicaRows: map[string][]byte{}}
+	f := &fleet{plan: p, clock: clock, store: &standin.Store{Clock: clock}, requestLog: &standin.RequestLog{}}
 	// All random generators use the run's seed, each with its own PCG stream: 2 for
 	// the faults of replicas, from 10 for injectFaults and from 100 for clients.
 	f.replicaFaults = &faultSource{rng: rand.New(rand.NewPCG(p.Seed, 2)), rate: replicaFaultRate}
@@ -106,7 +87,7 @@
 		return f, err
 	}
 	for i := range p.ModelReplicas + p.ServiceReplicas {
-		if err := f.startReplica(i); err != nil {
+		if err := f.startUpstream(i); err != nil {
 			return f, err
 		}
 	}
@@ -118,41 +99,6 @@
 	return f, nil
 }
 
-func (f *fleet) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("listen: %w", err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	f.servers = append(f.servers, server)
-	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
-}
-
-func (f *fleet) startReplica(i int) error {
-	r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "model", Domain: failureDomain(i), Runs: f.runCounter, Clock: f.clock, NextFault: f.replicaFaults.next}
-	if i >= f.plan.ModelReplicas {
-		r.Service = "plain"
-	}
-	address, err := f.serve(r)
-	if err != nil {
-		return err
-	}
-	replicaRelay, err := relay.Start(address)
-	if err != nil {
-		return err
-	}
-	f.replicaRelays = append(f.replicaRelays, replicaRelay)
-	row, err := r.Row(replicaRelay.Address())
-	if err != nil {
-		return fmt.Errorf("encode row of replica: %w", err)
-	}
-	f.replicas = append(f.replicas, r)
-	f.replicaRows[r.ID] = row
-	f.store.Put("servers", r.ID, row)
-	return nil
-}
-
 func failureDomain(i int) string { return [...]string{"a", "b", "c"}[i%3] }
 
 const settingsText = `Node = "n%d"
@@ -245,8 +191,8 @@
 		n.storeRelay.Close()
 		_ = n.log.Close()
 	}
-	for _, r := range f.replicaRelays {
-		r.Close()
+	for _, h := range f.upstreams {
+		h.relay.Close()
 	}
 	for _, s := range f.servers {
 		_ = s.Close()
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"snipeford/platform/standin"
 )
 
 const (
@@ -64,16 +66,16 @@
 // that clients got.
 func (f *fleet) checkRuns(r *Report) {
 	for _, id := range r.atMostOnceIDs {
-		if n := f.runCounter.Count(id); n > 1 {
+		if n := f.requestLog.Count(id); n > 1 {
 			r.addViolation("%s ran %d times, want at most once", id, n)
 		}
 	}
 	for _, id := range r.mustNotRunIDs {
-		if n := f.runCounter.Count(id); n > 0 {
+		if n := f.requestLog.Count(id); n > 0 {
 			r.addViolation("%s had a bad key or a status that means that no replica ran it, but ran %d times", id, n)
 		}
 	}
-	if n := f.runCounter.Count("wrong tenant or key passed on"); n > 0 {
+	if n := f.requestLog.Count(standin.MisusedHeaders); n > 0 {
 		r.addViolation("%d requests reached a replica with a wrong organisation or with an API key", n)
 	}
 	if float64(r.Completed) < minCompletedShare*float64(r.Sent) {
--- /dev/null
+++ b/cmd/standin/soak/upstreams.go
@@ -0,0 +1,125 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"snipeford/internal/emulate/relay"
+	"snipeford/platform/standin"
+)
+
+// faultSource chooses at random which fault a replica injects into a request.
+type faultSource struct {
+	mu   sync.Mutex
+	rng  *rand.Rand
+	rate float64
+}
+
+func (s *faultSource) next() standin.Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rng.Float64() >= s.rate {
+		return standin.NoFault
+	}
+	return standin.Fault(1 + s.rng.IntN(standin.FaultKinds))
+}
+
+// undelimitedPercent is the share of the replicas' responses that have neither a
+// length nor chunks.
+const undelimitedPercent = 20
+
+// upstreamHost serves the replicas that run at one address, one after the other.
+type upstreamHost struct {
+	service, domain string
+	// relay carries the connections to the replica.
+	relay *relay.Relay
+
+	mu      sync.Mutex
+	replica *standin.Replica
+	row     []byte
+	starts  int
+}
+
+// current returns the replica and its row.
+func (h *upstreamHost) current() (*standin.Replica, []byte) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.replica, h.row
+}
+
+// ServeHTTP passes the request to the replica.
+func (h *upstreamHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	replica, _ := h.current()
+	replica.ServeHTTP(w, r)
+}
+
+func (f *fleet) startUpstream(i int) error {
+	h := &upstreamHost{service: "model", domain: failureDomain(i)}
+	if i >= f.plan.ModelReplicas {
+		h.service = "plain"
+	}
+	target, err := f.serve(h)
+	if err != nil {
+		return err
+	}
+	address, err := f.host.Address()
+	if err != nil {
+		return fmt.Errorf("choose address of replica: %w", err)
+	}
+	if h.relay, err = relay.StartAt(address, target); err != nil {
+		return err
+	}
+	f.upstreams = append(f.upstreams, h)
+	return f.startReplica(h, fmt.Sprintf("i-%d", i))
+}
+
+// startReplica starts a new replica at the host's address, and registers it.
+func (f *fleet) startReplica(h *upstreamHost, id string) error {
+	r := &standin.Replica{
+		ID: id, Service: h.service, Domain: h.domain, Log: f.requestLog, Clock: f.clock,
+		NextFault: f.replicaFaults.next, UndelimitedPercent: undelimitedPercent,
+	}
+	row, err := r.Row(h.relay.Address())
+	if err != nil {
+		return fmt.Errorf("encode row of replica: %w", err)
+	}
+	h.mu.Lock()
+	h.replica, h.row = r, row
+	h.starts++
+	h.mu.Unlock()
+	f.store.Put("servers", id, row)
+	return nil
+}
+
+// randomUpstream returns a host chosen at random.
+func (f *fleet) randomUpstream(rng *rand.Rand) *upstreamHost {
+	return f.upstreams[rng.IntN(len(f.upstreams))]
+}
+
+// takeDown makes a replica abort all connections for a while. Its row disappears and
+// returns.
+func (f *fleet) takeDown(ctx context.Context, rng *rand.Rand) {
+	r, row := f.randomUpstream(rng).current()
+	r.Down.Store(true)
+	sleepRandom(ctx, rng, 100, 800)
+	f.store.Put("servers", r.ID, nil)
+	sleepRandom(ctx, rng, 200, 1200)
+	r.Down.Store(false)
+	f.store.Put("servers", r.ID, row)
+}
+
+func (f *fleet) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen: %w", err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
--- a/internal/emulate/relay/relay.go
+++ b/internal/emulate/relay/relay.go
@@ -3,7 +3,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"sync"
 	"time"
@@ -25,9 +27,10 @@
 // Relay forwards the connections to its listener to a target.
 type Relay struct {
 	target       string
+	address      string
 	clock        timer.Clock
-	listener     net.Listener
 	mu           sync.Mutex
+	listener     net.Listener
 	disconnected bool
 	connections  map[net.Conn]bool
 	// stalled holds the directions whose data is held back; delay applies to the
@@ -38,18 +41,24 @@
 }
 
 // Start listens on a loopback port and forwards connections to the target.
-func Start(target string) (*Relay, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+func Start(target string) (*Relay, error) { return StartAt("127.0.0.1:0", target) }
+
+// StartAt listens at an address and forwards connections to the target.
+func StartAt(address, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("start relay: %w", trace.ConvertSystemError(err))
 	}
-	r := &Relay{target: target, listener: listener, connections: map[net.Conn]bool{}, stalled: map[Direction]bool{}, restored: make(chan struct{})}
-	go r.accept()
+	r := &Relay{
+		target: target, address: listener.Addr().String(), listener: listener,
+		connections: map[net.Conn]bool{}, stalled: map[Direction]bool{}, restored: make(chan struct{}),
+	}
+	go r.accept(listener)
 	return r, nil
 }
 
 // Address returns the address of the listener.
-func (r *Relay) Address() string { return r.listener.Addr().String() }
+func (r *Relay) Address() string { return r.address }
 
 // Disconnect closes all connections, and new ones immediately, until Restore.
 func (r *Relay) Disconnect() {
@@ -66,14 +75,19 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.connections {
-		if tcp, ok := c.(*net.TCPConn); ok {
-			// With a linger time of zero, Close sends a reset.
-			_ = tcp.SetLinger(0)
-		}
+		resetOnClose(c)
 		c.Close()
 	}
 }
 
+// resetOnClose makes Close send a reset, which a linger time of zero does.
+func resetOnClose(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		// SetLinger fails if the connection is already closed.
+		_ = tcp.SetLinger(0)
+	}
+}
+
 // Stall holds back all data in the directions until Restore. Connections stay open.
 func (r *Relay) Stall(directions ...Direction) {
 	r.mu.Lock()
@@ -115,31 +129,35 @@
 	}
 }
 
-// copy forwards data until one of the connections is closed.
-func (r *Relay) copy(to, from net.Conn, d Direction) {
+// copy forwards data until one of the connections is closed. It reports whether a
+// connection was reset.
+func (r *Relay) copy(to, from net.Conn, d Direction) bool {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
-			return
+			return !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed)
 		}
 		r.waitToForward(d)
 		if _, err := to.Write(buffer[:n]); err != nil {
-			return
+			return !errors.Is(err, net.ErrClosed)
 		}
 	}
 }
 
 // Close closes the listener and all connections.
 func (r *Relay) Close() {
-	r.listener.Close()
+	r.mu.Lock()
+	listener := r.listener
+	r.mu.Unlock()
+	listener.Close()
 	r.Restore()
 	r.Disconnect()
 }
 
-func (r *Relay) accept() {
+func (r *Relay) accept(listener net.Listener) {
 	for {
-		c, err := r.listener.Accept()
+		c, err := listener.Accept()
 		if err != nil {
 			return
 		}
@@ -178,9 +196,12 @@
 	if !r.track(to) {
 		return
 	}
-	done := make(chan struct{}, 2)
-	// When one connection is closed, the other one is closed too.
-	go func() { r.copy(to, from, ToTarget); done <- struct{}{} }()
-	go func() { r.copy(from, to, FromTarget); done <- struct{}{} }()
-	<-done
+	reset := make(chan bool, 2)
+	// When one connection is closed or reset, the other one is too.
+	go func() { reset <- r.copy(to, from, ToTarget) }()
+	go func() { reset <- r.copy(from, to, FromTarget) }()
+	if <-reset {
+		resetOnClose(to)
+		resetOnClose(from)
+	}
 }
