Check in a soak with planned work alone that no request is cut

Cause: the soak counted a request whose connection ended without a response as failed, without judging it. Each stop was single, with a StopGrace of 4 s, and no client kept a connection or a request until the process was gone.

Change: standin soak -variant planned stops nodes in overlapping series and sends SIGHUP and new configurations. Each request that ends without a complete response is judged by what its client and the replicas observed. Mixed runs get the planned kinds of faults too.

--- /dev/null
+++ b/cmd/standin/soak/caller.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"snipeford"
+	"snipeford/platform/standin"
+)
+
+// request is a request that a client sends.
+type request struct {
+	id, route string
+	badKey    bool
+	timeout   time.Duration
+	work      standin.Work
+}
+
+// encode returns the request as it is sent to a node.
+func (q request) encode(address string) (*http.Request, error) {
+	url := "http://" + address + "/" + q.route + "/q"
+	if q.work != (standin.Work{}) {
+		url += "?" + q.work.Query()
+	}
+	body := bytes.Repeat([]byte("x"), 200)
+	req, err := http.NewRequest(http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
+	if err != nil {
+		return nil, fmt.Errorf("encode request %s: %w", q.id, err)
+	}
+	req.ContentLength = int64(len(body))
+	req.Host = host
+	req.Header = standin.RequestHeader(q.id, map[bool]string{true: "bad", false: "good"}[q.badKey], q.timeout)
+	return req, nil
+}
+
+// isStream reports whether the response is a stream.
+func (q request) isStream() bool { return q.route == "once" || q.route == "stream" }
+
+// exchange is a request that was sent in full, and its end, as its client observed
+// them.
+type exchange struct {
+	request
+	node        *node
+	sent, ended snipeford.Instant
+	// status is the status of the response, or 0 if no header arrived. complete
+	// reports whether the whole response arrived.
+	status   int
+	complete bool
+}
+
+// caller is a client that sends one request after the other on one connection, until
+// the node closes it.
+type caller struct {
+	fleet      *fleet
+	report     *Report
+	rng        *rand.Rand
+	node       *node
+	connection net.Conn
+	reader     *bufio.Reader
+}
+
+// dialTimeout is the time that a client allows for a new connection.
+const dialTimeout = time.Second
+
+// connect connects to a random node, unless the connection is still open.
+func (c *caller) connect() error {
+	if c.connection != nil {
+		return nil
+	}
+	c.node = c.fleet.randomNode(c.rng)
+	connection, err := net.DialTimeout("tcp4", c.node.callerAddress, dialTimeout)
+	if err != nil {
+		return fmt.Errorf("connect to node: %w", err)
+	}
+	c.connection, c.reader = connection, bufio.NewReader(connection)
+	return nil
+}
+
+func (c *caller) disconnect() {
+	if c.connection != nil {
+		_ = c.connection.Close()
+		c.connection = nil
+	}
+}
+
+// send sends a request and waits for the end of its response. It returns the
+// response's header, which is empty if there was none. Requests that the end of ctx
+// interrupts are not recorded.
+func (c *caller) send(ctx context.Context, q request) http.Header {
+	if c.connect() != nil {
+		return nil
+	}
+	req, err := q.encode(c.node.callerAddress)
+	if err != nil {
+		c.report.addViolation("%v", err)
+		return nil
+	}
+	c.report.recordSent(q)
+	// SetDeadline fails on a connection that is already closed, as the request does.
+	_ = c.connection.SetDeadline(c.fleet.clock.Deadline(q.timeout))
+	connection := c.connection
+	defer context.AfterFunc(ctx, func() { _ = connection.Close() })()
+	if req.Write(connection) != nil {
+		c.disconnect()
+		c.report.increment(&c.report.Failed)
+		return nil
+	}
+	e := exchange{request: q, node: c.node, sent: c.fleet.clock.Now()}
+	header := c.receive(req, &e)
+	e.ended = c.fleet.clock.Now()
+	if ctx.Err() == nil {
+		c.report.addExchange(e)
+	}
+	return header
+}
+
+// receive reads the response and checks it.
+func (c *caller) receive(req *http.Request, e *exchange) http.Header {
+	resp, err := http.ReadResponse(c.reader, req)
+	if err != nil {
+		c.disconnect()
+		c.report.increment(&c.report.Failed)
+		return nil
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	c.report.checkResponse(e.request, resp, string(body), err)
+	if resp.Close || err != nil {
+		c.disconnect()
+	}
+	e.status, e.complete = resp.StatusCode, err == nil
+	return resp.Header
+}
+
+// runCaller sends the requests that next returns until ctx ends.
+func (f *fleet) runCaller(ctx context.Context, number int, r *Report, next func(rng *rand.Rand, id string) request) {
+	c := &caller{fleet: f, report: r, rng: rand.New(rand.NewPCG(f.plan.Seed, uint64(100+number)))}
+	defer c.disconnect()
+	for n := 0; ctx.Err() == nil; n++ {
+		header := c.send(ctx, next(c.rng, fmt.Sprintf("s%d-c%d-%d", f.plan.Seed, number, n)))
+		switch {
+		case header.Get("Retry-After") != "":
+			sleepRandom(ctx, c.rng, 250, 400)
+		case c.connection == nil:
+			sleepRandom(ctx, c.rng, 5, 40)
+		case c.rng.IntN(requestsPerConnection) == 0:
+			c.disconnect()
+		}
+	}
+}
+
+// requestsPerConnection is the mean number of requests after which a client closes
+// its connection, so that nodes that have started again get clients.
+const requestsPerConnection = 50
--- a/cmd/standin/soak/clients.go
+++ b/cmd/standin/soak/clients.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -27,9 +26,16 @@
 	// refused. atMostOnceIDs are the ids of the requests to routes that must not
 	// run a request twice.
 	mustNotRunIDs, atMostOnceIDs []string
+	exchanges                    []exchange
 	mu                           sync.Mutex
 }
 
+func (r *Report) addExchange(e exchange) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.exchanges = append(r.exchanges, e)
+}
+
 func (r *Report) addViolation(format string, values ...any) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -55,27 +61,25 @@
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for n := 0; ctx.Err() == nil; n++ {
 		route := []string{"safe", "unsafe", "unsafe", "once", "stream", "stream"}[rng.IntN(6)]
-		id := fmt.Sprintf("s%d-c%d-%d", f.plan.Seed, number, n)
-		if f.sendRequest(client, f.randomNode(rng).callerAddress, route, id, rng.IntN(50) == 0, r) {
+		q := request{id: fmt.Sprintf("s%d-c%d-%d", f.plan.Seed, number, n), route: route, timeout: callTimeout}
+		address := f.randomNode(rng).callerAddress
+		q.badKey = rng.IntN(50) == 0
+		if q.send(client, address, r) {
 			sleepRandom(ctx, rng, 250, 400)
 		}
 		sleepRandom(ctx, rng, 5, 40)
 	}
 }
 
-// sendRequest sends one request and checks the response. It reports whether the
-// response asks the client to retry later.
-func (f *fleet) sendRequest(client *http.Client, address, route, id string, badKey bool, r *Report) bool {
-	body := bytes.Repeat([]byte("x"), 200)
-	req, err := http.NewRequest(http.MethodPost, "http://"+address+"/"+route+"/q", io.NopCloser(bytes.NewReader(body)))
+// send sends the request and checks the response. It reports whether the response
+// asks the client to retry later.
+func (q request) send(client *http.Client, address string, r *Report) bool {
+	req, err := q.encode(address)
 	if err != nil {
-		r.addViolation("%s: %v", id, err)
+		r.addViolation("%v", err)
 		return false
 	}
-	req.ContentLength = int64(len(body))
-	req.Host = host
-	req.Header = standin.RequestHeader(id, map[bool]string{true: "bad", false: "good"}[badKey], callTimeout)
-	r.recordSent(id, route, badKey)
+	r.recordSent(q)
 	resp, err := client.Do(req)
 	if err != nil {
 		r.increment(&r.Failed)
@@ -83,19 +87,19 @@
 	}
 	defer resp.Body.Close()
 	got, err := io.ReadAll(resp.Body)
-	r.checkResponse(id, route, resp, string(got), err)
+	r.checkResponse(q, resp, string(got), err)
 	return resp.Header.Get("Retry-After") != ""
 }
 
-func (r *Report) recordSent(id, route string, badKey bool) {
+func (r *Report) recordSent(q request) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.Sent++
-	if badKey {
-		r.mustNotRunIDs = append(r.mustNotRunIDs, id)
+	if q.badKey {
+		r.mustNotRunIDs = append(r.mustNotRunIDs, q.id)
 	}
-	if route == "unsafe" || route == "once" {
-		r.atMostOnceIDs = append(r.atMostOnceIDs, id)
+	if q.route == "unsafe" || q.route == "once" {
+		r.atMostOnceIDs = append(r.atMostOnceIDs, q.id)
 	}
 }
 
@@ -107,25 +111,25 @@
 
 // checkResponse checks that a response belongs to its request and, if it is
 // complete, that the replica signed it.
-func (r *Report) checkResponse(id, route string, resp *http.Response, body string, err error) {
+func (r *Report) checkResponse(q request, resp *http.Response, body string, err error) {
 	switch {
 	case resp.StatusCode == http.StatusOK && err != nil:
 		r.increment(&r.Truncated)
-		if !strings.HasPrefix(completeBody(id, route), trimPartialEvent(body)) {
-			r.addViolation("%s: truncated body %q is not a prefix of the expected body", id, body)
+		if !strings.HasPrefix(q.completeBody(), trimPartialEvent(body)) {
+			r.addViolation("%s: truncated body %q is not a prefix of the expected body", q.id, body)
 		}
 	case resp.StatusCode == http.StatusOK:
 		r.increment(&r.Completed)
-		if body != completeBody(id, route) {
-			r.addViolation("%s: complete body %q differs from the expected body", id, body)
+		if body != q.completeBody() {
+			r.addViolation("%s: complete body %q differs from the expected body", q.id, body)
 		}
-		if !standin.Signed(resp.Header, id) {
-			r.addViolation("%s: response has no valid signature of the replica", id)
+		if !standin.Signed(resp.Header, q.id) {
+			r.addViolation("%s: response has no valid signature of the replica", q.id)
 		}
 	case meansNotRun(resp.StatusCode):
 		r.increment(&r.Refused)
 		r.mu.Lock()
-		r.mustNotRunIDs = append(r.mustNotRunIDs, id)
+		r.mustNotRunIDs = append(r.mustNotRunIDs, q.id)
 		r.mu.Unlock()
 	default:
 		r.increment(&r.Failed)
@@ -146,9 +150,9 @@
 }
 
 // completeBody returns the expected body of a complete response.
-func completeBody(id, route string) string {
-	if route != "once" && route != "stream" {
-		return standin.ResponseBody(id)
+func (q request) completeBody() string {
+	if !q.isStream() {
+		return standin.ResponseBody(q.id)
 	}
-	return standin.StreamBody(id, standin.Work{})
+	return standin.StreamBody(q.id, q.work)
 }
--- a/cmd/standin/soak/faults.go
+++ b/cmd/standin/soak/faults.go
@@ -38,11 +38,7 @@
 		sleepRandom(ctx, rng, 200, 2500)
 		n.signal(syscall.SIGCONT)
 	}},
-	{"stop", func(ctx context.Context, f *fleet, rng *rand.Rand) {
-		n := f.randomNode(rng)
-		<-n.signal(syscall.SIGTERM)
-		restart(f, n)
-	}},
+	{"stop", stopOne},
 	{"store cut", func(ctx context.Context, f *fleet, rng *rand.Rand) {
 		n := f.randomNode(rng)
 		n.storeRelay.Disconnect()
@@ -58,7 +54,7 @@
 			n.storeRelay.Restore()
 		}
 	}},
-	{"replica down", func(ctx context.Context, f *fleet, rng *rand.Rand) { f.takeDown(ctx, rng) }},
+	{"replica down", takeDown},
 	{"store silent", relayFault(randomStoreRelay, func(w *relay.Relay, _ *rand.Rand) { w.Stall(relay.ToTarget, relay.FromTarget) })},
 	{"store cut one way", relayFault(randomStoreRelay, func(w *relay.Relay, _ *rand.Rand) { w.Stall(relay.FromTarget) })},
 	{"store slow", relayFault(randomStoreRelay, delayRelay)},
@@ -72,6 +68,17 @@
 		sleepRandom(ctx, rng, 300, 2000)
 		f.store.Put("op", key, nil)
 	}},
+	{"stop series", stopSeries},
+	{"hang up", hangUp},
+	{"configuration", configure},
+}
+
+// plannedFaults are the kinds of planned work. A seed selects them by index, too.
+var plannedFaults = []fault{
+	{"stop", stopOne},
+	{"stop series", stopSeries},
+	{"hang up", hangUp},
+	{"configuration", configure},
 }
 
 // relayFault returns a fault that disturbs the connections through one relay for
@@ -112,11 +119,11 @@
 	}
 }
 
-// injectFaults injects random faults one after the other, with short pauses, until
+// injectFaults injects random faults of a list one after the other, with short pauses, until
 // ctx ends. Two concurrent calls let faults overlap.
-func (f *fleet) injectFaults(ctx context.Context, rng *rand.Rand, record func(string)) {
+func (f *fleet) injectFaults(ctx context.Context, kinds []fault, rng *rand.Rand, record func(string)) {
 	for ctx.Err() == nil {
-		chosen := faults[rng.IntN(len(faults))]
+		chosen := kinds[rng.IntN(len(kinds))]
 		record(chosen.name)
 		chosen.inject(ctx, f, rng)
 		sleepRandom(ctx, rng, 50, 700)
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -10,10 +10,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"snipeford"
 	"snipeford/internal/control/timer"
 	"snipeford/internal/emulate/loopback"
 	"snipeford/internal/emulate/relay"
@@ -31,6 +34,7 @@
 	ModelReplicas   int
 	ServiceReplicas int
 	Clients         int
+	Variant         Variant
 }
 
 // host is the Host header of all requests and the host of all routes.
@@ -50,6 +54,8 @@
 	// restarts.
 	host          *loopback.Host
 	replicaFaults *faultSource
+	// configurationVersion is the version of the last configuration.
+	configurationVersion atomic.Int64
 }
 
 // node is one node's process with the relay for its connections to the store.
@@ -62,22 +68,22 @@
 	process       *exec.Cmd
 	exited        chan struct{}
 	stopping      bool
+	// stops are the times of SIGTERM.
+	stops []snipeford.Instant
+	clock *timer.Clock
 }
 
-// replicaFaultRate is the share of requests into which replicas inject a fault.
-const replicaFaultRate = 0.04
-
 func startFleet(p Plan) (*fleet, error) {
 	clock := &timer.Clock{}
 	f := &fleet{plan: p, clock: clock, store: &standin.Store{Clock: clock}, requestLog: &standin.RequestLog{}}
 	// All random generators use the run's seed, each with its own PCG stream: 2 for
 	// the faults of replicas, from 10 for injectFaults and from 100 for clients.
-	f.replicaFaults = &faultSource{rng: rand.New(rand.NewPCG(p.Seed, 2)), rate: replicaFaultRate}
+	f.replicaFaults = &faultSource{rng: rand.New(rand.NewPCG(p.Seed, 2)), rate: p.Variant.replicaFaultRate()}
 	var err error
 	if f.host, err = loopback.Reserve(); err != nil {
 		return nil, err
 	}
-	configuration, err := standin.Configuration(1, host)
+	configuration, err := standin.Configuration(int(f.configurationVersion.Add(1)), host)
 	if err != nil {
 		return f, fmt.Errorf("encode routing configuration: %w", err)
 	}
@@ -112,7 +118,7 @@
 MemoryMegabytes = 284
 RevocationMilliseconds = 5000
 ConfigurationMilliseconds = 2000
-StopGraceSeconds = 4
+StopGraceSeconds = %d
 RepeatRatio = 0.2
 RepeatWindowSeconds = 10
 RepeatSlack = 100
@@ -131,8 +137,8 @@
 	if err != nil {
 		return err
 	}
-	n := &node{settingsFile: filepath.Join(f.plan.Directory, fmt.Sprintf("n%d.toml", i)), callerAddress: addresses[0], storeRelay: storeRelay}
-	text := fmt.Sprintf(settingsText, i, failureDomain(i), addresses[0], addresses[1], addresses[2], addresses[3], storeRelay.Address())
+	n := &node{settingsFile: filepath.Join(f.plan.Directory, fmt.Sprintf("n%d.toml", i)), callerAddress: addresses[0], storeRelay: storeRelay, clock: f.clock}
+	text := fmt.Sprintf(settingsText, i, failureDomain(i), addresses[0], addresses[1], addresses[2], addresses[3], storeRelay.Address(), int(stopGrace.Seconds()))
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write node settings: %w", err)
 	}
@@ -174,12 +180,22 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil {
+		if s == syscall.SIGTERM {
+			n.stops = append(n.stops, n.clock.Now())
+		}
 		// Signal fails if the process has just exited.
 		_ = n.process.Process.Signal(s)
 	}
 	return n.exited
 }
 
+// stopTimes returns the times of SIGTERM.
+func (n *node) stopTimes() []snipeford.Instant {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.stops)
+}
+
 // close kills the nodes and closes the relays and servers.
 func (f *fleet) close() {
 	for _, n := range f.nodes {
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -22,6 +22,50 @@
 	minCompletedShare = 0.3
 )
 
+// Variant is the kind of faults of a run, and the clients and checks that go with it.
+type Variant string
+
+// Variants.
+const (
+	// Mixed has all kinds of faults.
+	Mixed Variant = "mixed"
+	// Planned has only planned work: stops, SIGHUP and new configurations.
+	Planned Variant = "planned"
+)
+
+// Variants lists the names of all variants.
+var Variants = []Variant{Mixed, Planned}
+
+const (
+	mixedReplicaFaultRate   = 0.04
+	plannedReplicaFaultRate = 0.01
+)
+
+// replicaFaultRate returns the share of requests into which replicas inject a fault.
+func (v Variant) replicaFaultRate() float64 {
+	if v == Planned {
+		return plannedReplicaFaultRate
+	}
+	return mixedReplicaFaultRate
+}
+
+// faults returns the kinds of faults of the variant.
+func (v Variant) faults() []fault {
+	if v == Planned {
+		return plannedFaults
+	}
+	return faults
+}
+
+// runVariantClient runs a client of the run's variant.
+func (f *fleet) runVariantClient(ctx context.Context, number int, r *Report) {
+	if f.plan.Variant == Planned {
+		f.runCaller(ctx, number, r, nextPlannedRequest(number))
+		return
+	}
+	f.runClient(ctx, number, r)
+}
+
 // Run performs one run with the plan's seed.
 func Run(ctx context.Context, p Plan) (*Report, error) {
 	f, err := startFleet(p)
@@ -37,15 +81,18 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for i := range p.Clients {
-		group.Go(func() { f.runClient(loadCtx, i, r) })
+		group.Go(func() { f.runVariantClient(loadCtx, i, r) })
 	}
 	for i := range concurrentFaults {
 		rng := rand.New(rand.NewPCG(p.Seed, uint64(10+i)))
-		group.Go(func() { f.injectFaults(loadCtx, rng, r.recordFault) })
+		group.Go(func() { f.injectFaults(loadCtx, p.Variant.faults(), rng, r.recordFault) })
 	}
 	group.Wait()
 	sleep(ctx, drainTime)
 	f.checkRuns(r)
+	if p.Variant == Planned {
+		f.checkCuts(r)
+	}
 	return r, nil
 }
 
--- a/cmd/standin/soak/upstreams.go
+++ b/cmd/standin/soak/upstreams.go
@@ -103,7 +103,7 @@
 
 // takeDown makes a replica abort all connections for a while. Its row disappears and
 // returns.
-func (f *fleet) takeDown(ctx context.Context, rng *rand.Rand) {
+func takeDown(ctx context.Context, f *fleet, rng *rand.Rand) {
 	r, row := f.randomUpstream(rng).current()
 	r.Down.Store(true)
 	sleepRandom(ctx, rng, 100, 800)
--- a/cmd/standin/verb/soak.go
+++ b/cmd/standin/verb/soak.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/google/subcommands"
@@ -20,12 +21,13 @@
 	nodes                int
 	modelReplicas        int
 	clients              int
+	variant              string
 }
 
 func (*soakVerb) Name() string     { return "soak" }
 func (*soakVerb) Synopsis() string { return "inject seeded faults and check the delivery guarantees" }
 func (*soakVerb) Usage() string {
-	return "soak [-first SEED] [-seeds N] [-length DURATION] [-nodes N] [-models N] [-clients N]\n  Run nodes as separate processes against a simulated platform, once per seed. Exit with 1 on a violation and keep the logs.\n  Example: standin soak -first 1 -seeds 3\n"
+	return "soak [-first SEED] [-seeds N] [-length DURATION] [-nodes N] [-models N] [-clients N] [-variant NAME]\n  Run nodes as separate processes against a simulated platform, once per seed. Exit with 1 on a violation and keep the logs.\n  Example: standin soak -first 1 -seeds 3\n"
 }
 
 func (v *soakVerb) SetFlags(f *flag.FlagSet) {
@@ -36,9 +38,13 @@
 	f.IntVar(&v.nodes, "nodes", 4, "number of nodes")
 	f.IntVar(&v.modelReplicas, "models", 6, "number of model replicas")
 	f.IntVar(&v.clients, "clients", 16, "number of clients")
+	f.StringVar(&v.variant, "variant", string(soak.Mixed), fmt.Sprintf("kind of faults, one of %v", soak.Variants))
 }
 
 func (v *soakVerb) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if !slices.Contains(soak.Variants, soak.Variant(v.variant)) {
+		return fail(fmt.Errorf("unknown variant %q", v.variant))
+	}
 	if v.firstSeed == 0 {
 		v.firstSeed = uint64(time.Now().UnixNano() % 1_000_000_000)
 	}
@@ -72,10 +78,14 @@
 	report, err := soak.Run(ctx, soak.Plan{
 		Program: v.nodeProgram, Directory: directory, Seed: seed, Duration: v.duration,
 		Nodes: v.nodes, ModelReplicas: v.modelReplicas, ServiceReplicas: 3, Clients: v.clients,
+		Variant: soak.Variant(v.variant),
 	})
 	if err != nil {
 		return 0, err
 	}
+	if err := ctx.Err(); err != nil {
+		return 0, fmt.Errorf("interrupted in seed %d: %w", seed, err)
+	}
 	fmt.Println(report)
 	for _, violation := range report.Violations {
 		fmt.Println("  VIOLATION", violation)
