Check in a soak that a prompt part crashes only a few replicas

Cause: no run had requests that crash the replica that answers them, and no request named the parts of its prompt.

Change: requests carry the parts of their prompts: one that all share, one for each client, and their own. The run counts the requests with the part that reach replicas after the fifth crash, and compares the shares of the others that are served.

--- a/cmd/standin/soak/caller.go
+++ b/cmd/standin/soak/caller.go
@@ -21,6 +21,10 @@
 	badKey    bool
 	timeout   time.Duration
 	work      standin.Work
+	// parts are the shared parts of the prompt after the first one. poisoned reports
+	// whether one of them makes replicas crash.
+	parts    []standin.PromptPart
+	poisoned bool
 }
 
 // encode returns the request as it is sent to a node.
@@ -36,7 +40,7 @@
 	}
 	req.ContentLength = int64(len(body))
 	req.Host = host
-	req.Header = standin.RequestHeader(q.id, map[bool]string{true: "bad", false: "good"}[q.badKey], q.timeout)
+	req.Header = standin.RequestHeader(q.id, map[bool]string{true: "bad", false: "good"}[q.badKey], q.timeout, q.parts...)
 	return req, nil
 }
 
--- a/cmd/standin/soak/clients.go
+++ b/cmd/standin/soak/clients.go
@@ -22,6 +22,8 @@
 	Failed                              int
 	Faults                              map[string]int
 	Violations                          []string
+	// Remarks are figures of the checks of the run's variant.
+	Remarks []string
 	// mustNotRunIDs are the ids of the requests that had a bad key or were
 	// refused. atMostOnceIDs are the ids of the requests to routes that must not
 	// run a request twice.
@@ -42,6 +44,12 @@
 	r.Violations = append(r.Violations, fmt.Sprintf(format, values...))
 }
 
+func (r *Report) addRemark(format string, values ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Remarks = append(r.Remarks, fmt.Sprintf(format, values...))
+}
+
 // String returns the report as one line, which prints Completed as whole and
 // Truncated as broken.
 func (r *Report) String() string {
@@ -61,7 +69,7 @@
 	client := &http.Client{Transport: transport, Timeout: callTimeout}
 	for n := 0; ctx.Err() == nil; n++ {
 		route := []string{"safe", "unsafe", "unsafe", "once", "stream", "stream"}[rng.IntN(6)]
-		q := request{id: fmt.Sprintf("s%d-c%d-%d", f.plan.Seed, number, n), route: route, timeout: callTimeout}
+		q := request{id: fmt.Sprintf("s%d-c%d-%d", f.plan.Seed, number, n), route: route, timeout: callTimeout, parts: sessionParts(number)}
 		address := f.randomNode(rng).callerAddress
 		q.badKey = rng.IntN(50) == 0
 		if q.send(client, address, r) {
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -4,6 +4,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -56,6 +57,12 @@
 	replicaFaults *faultSource
 	// configurationVersion is the version of the last configuration.
 	configurationVersion atomic.Int64
+	// poison is the prompt part on which replicas crash.
+	poison *poison
+	// context ends at close, and with it the pending restarts of replicas.
+	context  context.Context
+	cancel   context.CancelFunc
+	restarts sync.WaitGroup
 }
 
 // node is one node's process with the relay for its connections to the store.
@@ -68,14 +75,22 @@
 	process       *exec.Cmd
 	exited        chan struct{}
 	stopping      bool
-	// stops are the times of SIGTERM.
-	stops []snipeford.Instant
-	clock *timer.Clock
+	disturbed     []disturbance
+	clock         *timer.Clock
+}
+
+// disturbance is a start of a node, or a signal other than SIGHUP. stop reports
+// whether it was SIGTERM.
+type disturbance struct {
+	at   snipeford.Instant
+	stop bool
 }
 
 func startFleet(p Plan) (*fleet, error) {
 	clock := &timer.Clock{}
 	f := &fleet{plan: p, clock: clock, store: &standin.Store{Clock: clock}, requestLog: &standin.RequestLog{}}
+	f.poison = newPoison(p.Seed)
+	f.context, f.cancel = context.WithCancel(context.Background())
 	// All random generators use the run's seed, each with its own PCG stream: 2 for
 	// the faults of replicas, from 10 for injectFaults and from 100 for clients.
 	f.replicaFaults = &faultSource{rng: rand.New(rand.NewPCG(p.Seed, 2)), rate: p.Variant.replicaFaultRate()}
@@ -163,6 +178,7 @@
 	}
 	exited := make(chan struct{})
 	n.process, n.exited = command, exited
+	n.disturbed = append(n.disturbed, disturbance{at: n.clock.Now()})
 	go func() {
 		// Wait returns an error if a fault killed the node.
 		_ = command.Wait()
@@ -180,8 +196,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil {
-		if s == syscall.SIGTERM {
-			n.stops = append(n.stops, n.clock.Now())
+		if s != syscall.SIGHUP {
+			n.disturbed = append(n.disturbed, disturbance{n.clock.Now(), s == syscall.SIGTERM})
 		}
 		// Signal fails if the process has just exited.
 		_ = n.process.Process.Signal(s)
@@ -189,15 +205,28 @@
 	return n.exited
 }
 
-// stopTimes returns the times of SIGTERM.
-func (n *node) stopTimes() []snipeford.Instant {
+// disturbances returns the node's disturbances so far.
+func (n *node) disturbances() []disturbance {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return slices.Clone(n.stops)
+	return slices.Clone(n.disturbed)
+}
+
+// stopTimes returns the times of SIGTERM.
+func (n *node) stopTimes() []snipeford.Instant {
+	var out []snipeford.Instant
+	for _, d := range n.disturbances() {
+		if d.stop {
+			out = append(out, d.at)
+		}
+	}
+	return out
 }
 
 // close kills the nodes and closes the relays and servers.
 func (f *fleet) close() {
+	f.cancel()
+	f.restarts.Wait()
 	for _, n := range f.nodes {
 		n.mu.Lock()
 		n.stopping = true
--- /dev/null
+++ b/cmd/standin/soak/poison.go
@@ -0,0 +1,223 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"snipeford"
+	"snipeford/platform/standin"
+)
+
+const (
+	// calmTime is how long after a signal or a start a node may lack what the others
+	// know.
+	calmTime = 3 * time.Second
+	// crashLimit is the number of crashes after which a part must be known.
+	crashLimit = 5
+	// maxLateArrivals is the maximum number of requests with the part that reach
+	// replicas later than calmTime after the last crash of crashLimit.
+	maxLateArrivals = 3
+	// recoveryTime is the time from the last of these crashes until other requests
+	// are served again.
+	recoveryTime = 2 * calmTime
+	// minServedShare is the minimum share of served requests after recoveryTime,
+	// relative to the share before the first request with the part.
+	minServedShare = 0.5
+	// minSample is the minimum number of requests for a share.
+	minSample = 20
+)
+
+// poison is a prompt part on which replicas crash.
+type poison struct {
+	part    standin.PromptPart
+	mu      sync.Mutex
+	began   snipeford.Instant
+	crashes []snipeford.Instant
+}
+
+func newPoison(seed uint64) *poison {
+	return &poison{part: standin.NamedPart(fmt.Sprintf("bad %d", seed), sharedTokens)}
+}
+
+// sharedTokens is the size of the prompt parts that several requests share.
+const sharedTokens = 400
+
+// sessionParts returns the prompt parts that all requests of a session share.
+func sessionParts(session int) []standin.PromptPart {
+	return []standin.PromptPart{standin.NamedPart(fmt.Sprint("session ", session), sharedTokens)}
+}
+
+// nextPrompt returns requests of one of the sessions. Those with the part have it
+// before or after the part of their session.
+func (f *fleet) nextPrompt(session int, withPoison bool) func(*rand.Rand, string) request {
+	return func(rng *rand.Rand, id string) request {
+		q := request{id: id, timeout: streamTimeout, route: []string{"once", "stream"}[rng.IntN(2)]}
+		q.work = standin.Work{Delay: time.Duration(20+rng.IntN(50)) * time.Millisecond}
+		q.parts = sessionParts(session)
+		if !withPoison {
+			return q
+		}
+		q.poisoned = true
+		q.parts = append(q.parts, f.poison.part)
+		if rng.IntN(2) == 0 {
+			q.parts[0], q.parts[1] = q.parts[1], q.parts[0]
+		}
+		return q
+	}
+}
+
+// runPoisonClient runs a client of a run with a bad part. One client in four sends
+// requests with the part, from some seconds after the start until ctx ends.
+func (f *fleet) runPoisonClient(ctx context.Context, number int, r *Report) {
+	if number%4 != 0 {
+		f.runCaller(ctx, number, r, f.nextPrompt(number, false))
+		return
+	}
+	rng := rand.New(rand.NewPCG(f.plan.Seed, 3))
+	sleepRandom(ctx, rng, 4000, 5000)
+	f.poison.begin(f.clock.Now())
+	next := f.nextPrompt(number+1, true)
+	f.runCaller(ctx, number, r, func(rng *rand.Rand, id string) request {
+		sleepRandom(ctx, rng, 100, 300)
+		return next(rng, id)
+	})
+}
+
+// begin records the time of the first request with the part.
+func (p *poison) begin(at snipeford.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.began == 0 {
+		p.began = at
+	}
+}
+
+// crash makes a replica reset all its connections and refuse new ones. Its row
+// disappears, and some seconds later a new replica starts at its address.
+func (f *fleet) crash(h *upstreamHost, r *standin.Replica) {
+	if !r.Down.CompareAndSwap(false, true) {
+		return
+	}
+	f.poison.mu.Lock()
+	f.poison.crashes = append(f.poison.crashes, f.clock.Now())
+	f.poison.mu.Unlock()
+	h.relay.Refuse()
+	f.restarts.Go(func() {
+		rng := rand.New(rand.NewPCG(f.plan.Seed, uint64(standin.NamedPart(r.ID, 0).ID)))
+		sleepRandom(f.context, rng, 300, 1500)
+		f.store.Put("servers", r.ID, nil)
+		sleepRandom(f.context, rng, 1000, 2500)
+		if f.context.Err() != nil {
+			return
+		}
+		// A failed start leaves the run without the replica.
+		if h.relay.Listen() == nil {
+			_ = f.startReplica(h, fmt.Sprintf("%s-%d", r.ID, h.startCount()))
+		}
+	})
+}
+
+// checkPoison checks that the nodes keep requests with the part from replicas soon
+// after the part has made replicas crash, and serve other requests again.
+func (f *fleet) checkPoison(r *Report) {
+	p := f.poison
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	late := p.lateArrivals(r.exchanges, f.requestLog.Get)
+	before, after := p.servedBefore(r.exchanges), p.servedAfter(r.exchanges)
+	r.addRemark("%d crashes, %d late requests with the bad part, others served: %v before, %v after", len(p.crashes), late, before, after)
+	if late > maxLateArrivals {
+		r.addViolation("%d requests with the bad part reached replicas later than %v after crash %d, want at most %d", late, calmTime, crashLimit, maxLateArrivals)
+	}
+	enough := before.sent >= minSample && after.sent >= minSample
+	if enough && after.share() < minServedShare*before.share() {
+		r.addViolation("%v of the requests without the bad part were served later than %v after crash %d, %v before", after, recoveryTime, min(crashLimit, len(p.crashes)), before)
+	}
+}
+
+// lateArrivals counts the requests with the part that reached replicas although the
+// part must have been known, and whose node was calm.
+func (p *poison) lateArrivals(exchanges []exchange, record func(id string) standin.Record) int {
+	if len(p.crashes) < crashLimit {
+		return 0
+	}
+	from := p.crashes[crashLimit-1].Add(calmTime)
+	late := 0
+	for _, e := range exchanges {
+		if !e.poisoned {
+			continue
+		}
+		disturbances := e.node.disturbances()
+		for _, at := range record(e.id).Arrivals {
+			if at > from && isCalm(disturbances, at) {
+				late++
+			}
+		}
+	}
+	return late
+}
+
+// served counts requests.
+type served struct{ sent, begun int }
+
+func (s served) share() float64 { return float64(s.begun) / float64(s.sent) }
+
+// String returns the numbers as a fraction.
+func (s served) String() string { return fmt.Sprintf("%d/%d", s.begun, s.sent) }
+
+// servedBefore counts the requests before the first one with the part.
+func (p *poison) servedBefore(exchanges []exchange) served {
+	return countServed(exchanges, func(sent snipeford.Instant) bool { return p.began == 0 || sent < p.began })
+}
+
+// servedAfter counts the requests later than recoveryTime after the crash at the
+// limit, or after the last one if there are fewer.
+func (p *poison) servedAfter(exchanges []exchange) served {
+	if len(p.crashes) == 0 {
+		return served{}
+	}
+	from := p.crashes[min(crashLimit, len(p.crashes))-1].Add(recoveryTime)
+	return countServed(exchanges, func(sent snipeford.Instant) bool { return sent > from })
+}
+
+// countServed counts the requests without the part that were sent to nodes that were
+// calm and not stopping, and those of them whose response began.
+func countServed(exchanges []exchange, include func(sent snipeford.Instant) bool) served {
+	var s served
+	for _, e := range exchanges {
+		disturbances := e.node.disturbances()
+		if e.poisoned || !include(e.sent) || !isCalm(disturbances, e.sent) || isStopping(disturbances, e.sent) {
+			continue
+		}
+		s.sent++
+		if e.status == http.StatusOK {
+			s.begun++
+		}
+	}
+	return s
+}
+
+// isCalm reports whether none of the disturbances lies within calmTime before a time.
+func isCalm(disturbances []disturbance, at snipeford.Instant) bool {
+	for _, d := range disturbances {
+		if d.at <= at && at.Sub(d.at) <= calmTime {
+			return false
+		}
+	}
+	return true
+}
+
+// isStopping reports whether the last disturbance before a time was SIGTERM.
+func isStopping(disturbances []disturbance, at snipeford.Instant) bool {
+	stopping := false
+	for _, d := range disturbances {
+		if d.at <= at {
+			stopping = d.stop
+		}
+	}
+	return stopping
+}
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -31,10 +31,13 @@
 	Mixed Variant = "mixed"
 	// Planned has only planned work: stops, SIGHUP and new configurations.
 	Planned Variant = "planned"
+	// Poison has planned work, and requests with a prompt part on which replicas
+	// crash.
+	Poison Variant = "poison"
 )
 
 // Variants lists the names of all variants.
-var Variants = []Variant{Mixed, Planned}
+var Variants = []Variant{Mixed, Planned, Poison}
 
 const (
 	mixedReplicaFaultRate   = 0.04
@@ -43,7 +46,7 @@
 
 // replicaFaultRate returns the share of requests into which replicas inject a fault.
 func (v Variant) replicaFaultRate() float64 {
-	if v == Planned {
+	if v != Mixed {
 		return plannedReplicaFaultRate
 	}
 	return mixedReplicaFaultRate
@@ -51,7 +54,7 @@
 
 // faults returns the kinds of faults of the variant.
 func (v Variant) faults() []fault {
-	if v == Planned {
+	if v != Mixed {
 		return plannedFaults
 	}
 	return faults
@@ -59,11 +62,14 @@
 
 // runVariantClient runs a client of the run's variant.
 func (f *fleet) runVariantClient(ctx context.Context, number int, r *Report) {
-	if f.plan.Variant == Planned {
+	switch f.plan.Variant {
+	case Planned:
 		f.runCaller(ctx, number, r, nextPlannedRequest(number))
-		return
+	case Poison:
+		f.runPoisonClient(ctx, number, r)
+	default:
+		f.runClient(ctx, number, r)
 	}
-	f.runClient(ctx, number, r)
 }
 
 // Run performs one run with the plan's seed.
@@ -90,8 +96,11 @@
 	group.Wait()
 	sleep(ctx, drainTime)
 	f.checkRuns(r)
-	if p.Variant == Planned {
+	switch p.Variant {
+	case Planned:
 		f.checkCuts(r)
+	case Poison:
+		f.checkPoison(r)
 	}
 	return r, nil
 }
@@ -123,7 +132,7 @@
 		}
 	}
 	if n := f.requestLog.Count(standin.MisusedHeaders); n > 0 {
-		r.addViolation("%d requests reached a replica with a wrong organisation or with an API key", n)
+		r.addViolation("%d requests reached a replica with a wrong organisation or prompt, or with an API key", n)
 	}
 	if float64(r.Completed) < minCompletedShare*float64(r.Sent) {
 		r.addViolation("%d of %d requests got a complete response, want a share of at least %v", r.Completed, r.Sent, minCompletedShare)
--- a/cmd/standin/soak/stops.go
+++ b/cmd/standin/soak/stops.go
@@ -41,7 +41,7 @@
 // requests to the end.
 func nextPlannedRequest(number int) func(*rand.Rand, string) request {
 	return func(rng *rand.Rand, id string) request {
-		q := request{id: id, timeout: plainTimeout}
+		q := request{id: id, timeout: plainTimeout, parts: sessionParts(number)}
 		q.route = []string{"safe", "unsafe", "unsafe", "once", "stream"}[rng.IntN(5)]
 		switch {
 		case number%4 == 0:
--- a/cmd/standin/soak/upstreams.go
+++ b/cmd/standin/soak/upstreams.go
@@ -52,6 +52,12 @@
 	return h.replica, h.row
 }
 
+func (h *upstreamHost) startCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.starts
+}
+
 // ServeHTTP passes the request to the replica.
 func (h *upstreamHost) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	replica, _ := h.current()
@@ -84,6 +90,11 @@
 		ID: id, Service: h.service, Domain: h.domain, Log: f.requestLog, Clock: f.clock,
 		NextFault: f.replicaFaults.next, UndelimitedPercent: undelimitedPercent,
 	}
+	if f.plan.Variant == Poison {
+		r.CrashParts = &standin.PartSet{}
+		r.CrashParts.Add(f.poison.part)
+		r.Crash = func() { f.crash(h, r) }
+	}
 	row, err := r.Row(h.relay.Address())
 	if err != nil {
 		return fmt.Errorf("encode row of replica: %w", err)
--- a/cmd/standin/verb/soak.go
+++ b/cmd/standin/verb/soak.go
@@ -87,6 +87,9 @@
 		return 0, fmt.Errorf("interrupted in seed %d: %w", seed, err)
 	}
 	fmt.Println(report)
+	for _, remark := range report.Remarks {
+		fmt.Println("  ", remark)
+	}
 	for _, violation := range report.Violations {
 		fmt.Println("  VIOLATION", violation)
 	}
--- a/internal/emulate/relay/relay.go
+++ b/internal/emulate/relay/relay.go
@@ -60,6 +60,29 @@
 // Address returns the address of the listener.
 func (r *Relay) Address() string { return r.address }
 
+// Refuse resets all connections, and the operating system refuses new ones, until
+// Listen.
+func (r *Relay) Refuse() {
+	r.mu.Lock()
+	listener := r.listener
+	r.mu.Unlock()
+	listener.Close()
+	r.Reset()
+}
+
+// Listen ends the effect of Refuse.
+func (r *Relay) Listen() error {
+	listener, err := net.Listen("tcp", r.address)
+	if err != nil {
+		return fmt.Errorf("listen again: %w", trace.ConvertSystemError(err))
+	}
+	r.mu.Lock()
+	r.listener = listener
+	r.mu.Unlock()
+	go r.accept(listener)
+	return nil
+}
+
 // Disconnect closes all connections, and new ones immediately, until Restore.
 func (r *Relay) Disconnect() {
 	r.mu.Lock()
--- a/internal/emulate/relay/relay_test.go
+++ b/internal/emulate/relay/relay_test.go
@@ -69,3 +69,25 @@
 		})
 	}
 }
+
+func TestRefuse(t *testing.T) {
+	r := startRelay(t, func(c net.Conn) { _, _ = io.Copy(c, c) })
+	c := dial(t, r)
+	if _, err := c.Write([]byte("q")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	r.Refuse()
+	if _, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("got error %v on an open connection, want a reset", err)
+	}
+	if _, err := net.Dial("tcp4", r.Address()); !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("got error %v on a new connection, want refused", err)
+	}
+	if err := r.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	dial(t, r)
+}
