Let few nodes stop while the soak judges a bad prompt part

Cause: two faults of the check.

Change: runs with a bad part have one stop at a time. The second request waits until the crash has reset all connections.

--- a/cmd/standin/soak/faults.go
+++ b/cmd/standin/soak/faults.go
@@ -81,6 +81,9 @@
 	{"configuration", configure},
 }
 
+// poisonFaults are the kinds of planned work beside a bad prompt part.
+var poisonFaults = []fault{{"stop", stopOne}, {"hang up", hangUp}, {"configuration", configure}}
+
 // relayFault returns a fault that disturbs the connections through one relay for
 // up to a few seconds.
 func relayFault(chooseRelay func(*fleet, *rand.Rand) *relay.Relay, apply func(*relay.Relay, *rand.Rand)) func(context.Context, *fleet, *rand.Rand) {
--- a/cmd/standin/soak/poison.go
+++ b/cmd/standin/soak/poison.go
@@ -99,9 +99,7 @@
 // crash makes a replica reset all its connections and refuse new ones. Its row
 // disappears, and some seconds later a new replica starts at its address.
 func (f *fleet) crash(h *upstreamHost, r *standin.Replica) {
-	if !r.Down.CompareAndSwap(false, true) {
-		return
-	}
+	r.Down.Store(true)
 	f.poison.mu.Lock()
 	f.poison.crashes = append(f.poison.crashes, f.clock.Now())
 	f.poison.mu.Unlock()
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -52,12 +52,16 @@
 	return mixedReplicaFaultRate
 }
 
-// faults returns the kinds of faults of the variant.
-func (v Variant) faults() []fault {
-	if v != Mixed {
-		return plannedFaults
+// faults returns the kinds of faults of the variant, and how many of them overlap.
+func (v Variant) faults() ([]fault, int) {
+	switch v {
+	case Planned:
+		return plannedFaults, concurrentFaults
+	case Poison:
+		// The checks judge only nodes that were not stopped shortly before.
+		return poisonFaults, 1
 	}
-	return faults
+	return faults, concurrentFaults
 }
 
 // runVariantClient runs a client of the run's variant.
@@ -89,9 +93,10 @@
 	for i := range p.Clients {
 		group.Go(func() { f.runVariantClient(loadCtx, i, r) })
 	}
-	for i := range concurrentFaults {
+	kinds, series := p.Variant.faults()
+	for i := range series {
 		rng := rand.New(rand.NewPCG(p.Seed, uint64(10+i)))
-		group.Go(func() { f.injectFaults(loadCtx, p.Variant.faults(), rng, r.recordFault) })
+		group.Go(func() { f.injectFaults(loadCtx, kinds, rng, r.recordFault) })
 	}
 	group.Wait()
 	sleep(ctx, drainTime)
--- a/cmd/standin/soak/upstreams.go
+++ b/cmd/standin/soak/upstreams.go
@@ -93,7 +93,9 @@
 	if f.plan.Variant == Poison {
 		r.CrashParts = &standin.PartSet{}
 		r.CrashParts.Add(f.poison.part)
-		r.Crash = func() { f.crash(h, r) }
+		// A second request that crashes the replica waits for the reset, too.
+		var once sync.Once
+		r.Crash = func() { once.Do(func() { f.crash(h, r) }) }
 	}
 	row, err := r.Row(h.relay.Address())
 	if err != nil {
