--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -4,17 +4,20 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
+	"snipeford"
 	"snipeford/internal/control/timer"
 	"snipeford/internal/emulate/loopback"
 	"snipeford/internal/emulate/relay"
@@ -32,6 +35,7 @@
 	ModelReplicas   int
 	ServiceReplicas int
 	Clients         int
+	Variant         Variant
 }
 
 // host is the Host header of all requests and the host of all routes.
@@ -43,16 +47,22 @@
 	plan       Plan
 	clock      *timer.Clock
 	store      *standin.Store
-	runCounter *standin.RunCounter
-	replicas   []*standin.Replica
-	// replicaRelays carry the connections to the replicas, one relay each.
-	replicaRelays []*relay.Relay
-	servers       []*http.Server
-	nodes         []*node
-	// host provides the nodes' addresses, which are fixed across restarts.
+	requestLog *standin.RequestLog
+	upstreams  []*upstreamHost
+	servers    []*http.Server
+	nodes      []*node
+	// host provides the addresses of nodes and replicas, which are fixed across
+	// restarts.
 	host          *loopback.Host
 	replicaFaults *faultSource
-	replicaRows   map[string][]byte
+	// configurationVersion is the version of the last configuration.
+	configurationVersion atomic.Int64
+	// poison is the prompt part on which replicas crash.
+	poison *poison
+	// context ends at close, and with it the pending restarts of replicas.
+	context  context.Context
+	cancel   context.CancelFunc
+	restarts sync.WaitGroup
 }
 
 // node is one node's process with the relay for its connections to the store.
@@ -65,38 +75,30 @@
 	process       *exec.Cmd
 	exited        chan struct{}
 	stopping      bool
+	disturbed     []disturbance
+	clock         *timer.Clock
 }
 
-// faultSource chooses at random which fault a replica injects into a request.
-type faultSource struct {
-	mu   sync.Mutex
-	rng  *rand.Rand
-	rate float64
+// disturbance is a start of a node, or a signal other than SIGHUP. stop reports
+// whether it was SIGTERM.
+type disturbance struct {
+	at   snipeford.Instant
+	stop bool
 }
 
-func (s *faultSource) next() standin.Fault {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.rng.Float64() >= s.rate {
-		return standin.NoFault
-	}
-	return standin.Fault(1 + s.rng.IntN(4))
-}
-
-// replicaFaultRate is the share of requests into which replicas inject a fault.
-const replicaFaultRate = 0.04
-
 func startFleet(p Plan) (*fleet, error) {
 	clock := &timer.Clock{}
-	f := &fleet{plan: p, clock: clock, store: &standin.Store{Clock: clock}, runCounter: &standin.RunCounter{}, replicaRows: map[string][]byte{}}
+	f := &fleet{plan: p, clock: clock, store: &standin.Store{Clock: clock}, requestLog: &standin.RequestLog{}}
+	f.poison = newPoison(p.Seed)
+	f.context, f.cancel = context.WithCancel(context.Background())
 	// All random generators use the run's seed, each with its own PCG stream: 2 for
 	// the faults of replicas, from 10 for injectFaults and from 100 for clients.
-	f.replicaFaults = &faultSource{rng: rand.New(rand.NewPCG(p.Seed, 2)), rate: replicaFaultRate}
+	f.replicaFaults = &faultSource{rng: rand.New(rand.NewPCG(p.Seed, 2)), rate: p.Variant.replicaFaultRate()}
 	var err error
 	if f.host, err = loopback.Reserve(); err != nil {
 		return nil, err
 	}
-	configuration, err := standin.Configuration(1, host)
+	configuration, err := standin.Configuration(int(f.configurationVersion.Add(1)), host)
 	if err != nil {
 		return f, fmt.Errorf("encode routing configuration: %w", err)
 	}
@@ -106,7 +108,7 @@
 		return f, err
 	}
 	for i := range p.ModelReplicas + p.ServiceReplicas {
-		if err := f.startReplica(i); err != nil {
+		if err := f.startUpstream(i); err != nil {
 			return f, err
 		}
 	}
@@ -118,41 +120,6 @@
 	return f, nil
 }
 
-func (f *fleet) serve(handler http.Handler) (string, error) {
-	listener, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("listen: %w", err)
-	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
-	f.servers = append(f.servers, server)
-	go func() { _ = server.Serve(listener) }()
-	return listener.Addr().String(), nil
-}
-
-func (f *fleet) startReplica(i int) error {
-	r := &standin.Replica{ID: fmt.Sprintf("i-%d", i), Service: "model", Domain: failureDomain(i), Runs: f.runCounter, Clock: f.clock, NextFault: f.replicaFaults.next}
-	if i >= f.plan.ModelReplicas {
-		r.Service = "plain"
-	}
-	address, err := f.serve(r)
-	if err != nil {
-		return err
-	}
-	replicaRelay, err := relay.Start(address)
-	if err != nil {
-		return err
-	}
-	f.replicaRelays = append(f.replicaRelays, replicaRelay)
-	row, err := r.Row(replicaRelay.Address())
-	if err != nil {
-		return fmt.Errorf("encode row of replica: %w", err)
-	}
-	f.replicas = append(f.replicas, r)
-	f.replicaRows[r.ID] = row
-	f.store.Put("servers", r.ID, row)
-	return nil
-}
-
 func failureDomain(i int) string { return [...]string{"a", "b", "c"}[i%3] }
 
 const settingsText = `Node = "n%d"
@@ -166,7 +133,7 @@
 MemoryMegabytes = 284
 RevocationMilliseconds = 5000
 ConfigurationMilliseconds = 2000
-StopGraceSeconds = 4
+StopGraceSeconds = %d
 RepeatRatio = 0.2
 RepeatWindowSeconds = 10
 RepeatSlack = 100
@@ -185,8 +152,8 @@
 	if err != nil {
 		return err
 	}
-	n := &node{settingsFile: filepath.Join(f.plan.Directory, fmt.Sprintf("n%d.toml", i)), callerAddress: addresses[0], storeRelay: storeRelay}
-	text := fmt.Sprintf(settingsText, i, failureDomain(i), addresses[0], addresses[1], addresses[2], addresses[3], storeRelay.Address())
+	n := &node{settingsFile: filepath.Join(f.plan.Directory, fmt.Sprintf("n%d.toml", i)), callerAddress: addresses[0], storeRelay: storeRelay, clock: f.clock}
+	text := fmt.Sprintf(settingsText, i, failureDomain(i), addresses[0], addresses[1], addresses[2], addresses[3], storeRelay.Address(), int(stopGrace.Seconds()))
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write node settings: %w", err)
 	}
@@ -211,6 +178,7 @@
 	}
 	exited := make(chan struct{})
 	n.process, n.exited = command, exited
+	n.disturbed = append(n.disturbed, disturbance{at: n.clock.Now()})
 	go func() {
 		// Wait returns an error if a fault killed the node.
 		_ = command.Wait()
@@ -228,14 +196,37 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.process != nil {
+		if s != syscall.SIGHUP {
+			n.disturbed = append(n.disturbed, disturbance{n.clock.Now(), s == syscall.SIGTERM})
+		}
 		// Signal fails if the process has just exited.
 		_ = n.process.Process.Signal(s)
 	}
 	return n.exited
 }
 
+// disturbances returns the node's disturbances so far.
+func (n *node) disturbances() []disturbance {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Clone(n.disturbed)
+}
+
+// stopTimes returns the times of SIGTERM.
+func (n *node) stopTimes() []snipeford.Instant {
+	var out []snipeford.Instant
+	for _, d := range n.disturbances() {
+		if d.stop {
+			out = append(out, d.at)
+		}
+	}
+	return out
+}
+
 // close kills the nodes and closes the relays and servers.
 func (f *fleet) close() {
+	f.cancel()
+	f.restarts.Wait()
 	for _, n := range f.nodes {
 		n.mu.Lock()
 		n.stopping = true
@@ -245,8 +236,8 @@
 		n.storeRelay.Close()
 		_ = n.log.Close()
 	}
-	for _, r := range f.replicaRelays {
-		r.Close()
+	for _, h := range f.upstreams {
+		h.relay.Close()
 	}
 	for _, s := range f.servers {
 		_ = s.Close()
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"snipeford/platform/standin"
 )
 
 const (
@@ -20,6 +22,60 @@
 	minCompletedShare = 0.3
 )
 
+// Variant is the kind of faults of a run, and the clients and checks that go with it.
+type Variant string
+
+// Variants.
+const (
+	// Mixed has all kinds of faults.
+	Mixed Variant = "mixed"
+	// Planned has only planned work: stops, SIGHUP and new configurations.
+	Planned Variant = "planned"
+	// Poison has planned work, and requests with a prompt part on which replicas
+	// crash.
+	Poison Variant = "poison"
+)
+
+// Variants lists the names of all variants.
+var Variants = []Variant{Mixed, Planned, Poison}
+
+const (
+	mixedReplicaFaultRate   = 0.04
+	plannedReplicaFaultRate = 0.01
+)
+
+// replicaFaultRate returns the share of requests into which replicas inject a fault.
+func (v Variant) replicaFaultRate() float64 {
+	if v != Mixed {
+		return plannedReplicaFaultRate
+	}
+	return mixedReplicaFaultRate
+}
+
+// faults returns the kinds of faults of the variant, and how many of them overlap.
+func (v Variant) faults() ([]fault, int) {
+	switch v {
+	case Planned:
+		return plannedFaults, concurrentFaults
+	case Poison:
+		// The checks judge only nodes that were not stopped shortly before.
+		return poisonFaults, 1
+	}
+	return faults, concurrentFaults
+}
+
+// runVariantClient runs a client of the run's variant.
+func (f *fleet) runVariantClient(ctx context.Context, number int, r *Report) {
+	switch f.plan.Variant {
+	case Planned:
+		f.runCaller(ctx, number, r, nextPlannedRequest(number))
+	case Poison:
+		f.runPoisonClient(ctx, number, r)
+	default:
+		f.runClient(ctx, number, r)
+	}
+}
+
 // Run performs one run with the plan's seed.
 func Run(ctx context.Context, p Plan) (*Report, error) {
 	f, err := startFleet(p)
@@ -35,15 +91,22 @@
 	defer cancel()
 	var group sync.WaitGroup
 	for i := range p.Clients {
-		group.Go(func() { f.runClient(loadCtx, i, r) })
+		group.Go(func() { f.runVariantClient(loadCtx, i, r) })
 	}
-	for i := range concurrentFaults {
+	kinds, series := p.Variant.faults()
+	for i := range series {
 		rng := rand.New(rand.NewPCG(p.Seed, uint64(10+i)))
-		group.Go(func() { f.injectFaults(loadCtx, rng, r.recordFault) })
+		group.Go(func() { f.injectFaults(loadCtx, kinds, rng, r.recordFault) })
 	}
 	group.Wait()
 	sleep(ctx, drainTime)
 	f.checkRuns(r)
+	switch p.Variant {
+	case Planned:
+		f.checkCuts(r)
+	case Poison:
+		f.checkPoison(r)
+	}
 	return r, nil
 }
 
@@ -64,17 +127,17 @@
 // that clients got.
 func (f *fleet) checkRuns(r *Report) {
 	for _, id := range r.atMostOnceIDs {
-		if n := f.runCounter.Count(id); n > 1 {
+		if n := f.requestLog.Count(id); n > 1 {
 			r.addViolation("%s ran %d times, want at most once", id, n)
 		}
 	}
 	for _, id := range r.mustNotRunIDs {
-		if n := f.runCounter.Count(id); n > 0 {
+		if n := f.requestLog.Count(id); n > 0 {
 			r.addViolation("%s had a bad key or a status that means that no replica ran it, but ran %d times", id, n)
 		}
 	}
-	if n := f.runCounter.Count("wrong tenant or key passed on"); n > 0 {
-		r.addViolation("%d requests reached a replica with a wrong organisation or with an API key", n)
+	if n := f.requestLog.Count(standin.MisusedHeaders); n > 0 {
+		r.addViolation("%d requests reached a replica with a wrong organisation or prompt, or with an API key", n)
 	}
 	if float64(r.Completed) < minCompletedShare*float64(r.Sent) {
 		r.addViolation("%d of %d requests got a complete response, want a share of at least %v", r.Completed, r.Sent, minCompletedShare)
