Do not wait for the end of a late response without a length

Cause: a late response to an earlier request was read to its end before the next one. One without a length or chunks ends only with its connection, so that the request waited for bytes that could not be its response: callers of a safe route got 504 at the deadline instead of another upstream's response, those of an unsafe one 504 at the deadline instead of 502 at once.

Change: such a response ends the exchange with ErrRequestMismatch at once. TestEndlessSkippedBody sent a body without a length, which is no longer read; it also sends one with a large length and one in chunks, which still reach the limit.

--- a/internal/request/relay/unframed_test.go
+++ b/internal/request/relay/unframed_test.go
@@ -367,3 +367,25 @@
 		})
 	}
 }
+
+// TestLateUnframedResponse guards against requests that are held until their
+// deadline by an unframed response to an earlier request on their connection.
+func TestLateUnframedResponse(t *testing.T) {
+	late := func(c net.Conn, r *http.Request) {
+		if r.Header.Get("Id") == "r0" {
+			respondOK("first")(c, r)
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: r0\r\nSeal: x\r\n\r\nlate")
+		waitForCaller(c, r)
+	}
+	for path, want := range map[string]result{"/safe/x": {status: 200, body: "second"}, "/unsafe/x": {status: 502}} {
+		t.Run(path, func(t *testing.T) {
+			h := newHarness(t, late, respondOK("second"))
+			assertResponse(t, h.call(t, http.MethodPost, path, "Id", "r0"), 200, "first")
+			begin := time.Now()
+			assertResponse(t, h.call(t, http.MethodPost, path), want.status, want.body)
+			assertTook(t, begin, time.Second)
+		})
+	}
+}
--- a/internal/upstream/connection/endless_test.go
+++ b/internal/upstream/connection/endless_test.go
@@ -57,12 +57,19 @@
 
 // TestEndlessSkippedBody guards against an endless response to an earlier request.
 func TestEndlessSkippedBody(t *testing.T) {
-	address := startUpstream(t, func(c net.Conn, _ *http.Request, _ int64) {
-		writeUntilClosed(c, "HTTP/1.1 200 OK\r\nId: other\r\n\r\n", strings.Repeat("x", 16<<10))
-	})
-	got, err := do(t, &connection.Pool{Timer: &timer.Clock{}}, address, "r")
-	if !errors.Is(err, connection.ErrRequestMismatch) || strings.Contains(err.Error(), "%!") {
-		t.Errorf("got %q %v, want %v with a readable cause", got, err, connection.ErrRequestMismatch)
+	const piece = 16 << 10
+	for name, text := range map[string]struct{ start, repeat string }{
+		"without a length":    {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", strings.Repeat("x", piece)},
+		"with a large length": {"HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1000000000000\r\n\r\n", strings.Repeat("x", piece)},
+		"in chunks":           {"HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4000\r\n" + strings.Repeat("x", piece) + "\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := startUpstream(t, func(c net.Conn, _ *http.Request, _ int64) { writeUntilClosed(c, text.start, text.repeat) })
+			got, err := do(t, &connection.Pool{Timer: &timer.Clock{}}, address, "r")
+			if !errors.Is(err, connection.ErrRequestMismatch) || strings.Contains(err.Error(), "%!") {
+				t.Errorf("got %q %v, want %v with a readable cause", got, err, connection.ErrRequestMismatch)
+			}
+		})
 	}
 }
 
--- a/internal/upstream/connection/exchange.go
+++ b/internal/upstream/connection/exchange.go
@@ -140,6 +140,10 @@
 		if decoded.RequestID == "" {
 			return ErrRequestMismatch
 		}
+		if !isSelfDelimited(response) {
+			// No response can follow, so there is nothing to wait for.
+			return fmt.Errorf("%w: it ends with the connection", ErrRequestMismatch)
+		}
 		if err := discardBody(response.Body); err != nil {
 			return fmt.Errorf("%w: skip its body: %w", ErrRequestMismatch, err)
 		}
@@ -174,10 +178,14 @@
 func (x *Exchange) setResponse(response *http.Response, decoded snipeford.ResponseHeader) {
 	x.response, x.Decoded = response, decoded
 	x.Status, x.Header = response.StatusCode, response.Header
-	x.SelfDelimited = response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+	x.SelfDelimited = isSelfDelimited(response)
 	x.Decoded.Closing = decoded.Closing || response.Close || !x.SelfDelimited
 }
 
+func isSelfDelimited(response *http.Response) bool {
+	return response.ContentLength >= 0 || len(response.TransferEncoding) > 0
+}
+
 // Read reads the body of the response. io.EOF means that the body is complete.
 func (x *Exchange) Read(p []byte) (int, error) {
 	n, err := x.response.Body.Read(p)
--- a/internal/upstream/connection/unframed_test.go
+++ b/internal/upstream/connection/unframed_test.go
@@ -169,6 +169,35 @@
 	}
 }
 
+// TestLateUnframedResponse guards against requests that wait for the end of a
+// response to an earlier request. A response that ends with its connection is
+// followed by no other, so nothing is gained by reading it.
+func TestLateUnframedResponse(t *testing.T) {
+	for name, late := range map[string]string{
+		"silent":                     "HTTP/1.1 200 OK\r\nId: first\r\n\r\nlate",
+		"with the response after it": "HTTP/1.1 200 OK\r\nId: first\r\n\r\nlate" + responseText("second", "own"),
+		"HTTP/1.0":                   "HTTP/1.0 200 OK\r\nId: first\r\n\r\nlate",
+	} {
+		t.Run(name, func(t *testing.T) {
+			p, opened := openCounter()
+			address := startUpstream(t, func(c net.Conn, _ *http.Request, n int64) {
+				_, _ = io.WriteString(c, map[int64]string{1: responseText("first", "own"), 2: late, 3: responseText("third", "own")}[n])
+			})
+			got, err := do(t, p, address, "first")
+			assertBody(t, got, err, "own")
+			begin := time.Now()
+			var e *connection.ExchangeError
+			if got, err := do(t, p, address, "second"); !errors.Is(err, connection.ErrRequestMismatch) || !errors.As(err, &e) || !e.Sent {
+				t.Errorf("got %q %v, want %v after sending", got, err, connection.ErrRequestMismatch)
+			}
+			assertFast(t, begin)
+			got, err = do(t, p, address, "third")
+			assertBody(t, got, err, "own")
+			assertOpened(t, opened, 2)
+		})
+	}
+}
+
 // TestUnframedResponseAfterOthers guards against a response that is lost or joined
 // with another because a late one comes before it on a reused connection.
 func TestUnframedResponseAfterOthers(t *testing.T) {
