Do not read plain responses that are never passed on

Cause: a plain response was read to its end before its header was judged. An unsigned success, or a 503 without a length, is never passed on, but its body could hold the request until its deadline: callers of a safe route got 504, and those of any route 503 after an upstream that had not run the request, although another upstream was there; callers of an unsafe route got 504 at the deadline instead of 502 at once. Streams already dropped unsigned responses.

Change: readPlainResponse drops the body of an unsigned success and of a 503 without a length. An unsigned success counts as a failure of its upstream now; before, it did so only if its body was broken. Responses with a length that did not run are still read, so that their connection is reused.

--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -27,7 +27,10 @@
 	body   []byte
 }
 
-var errResponseTooLong = errors.New("response is too long")
+var (
+	errResponseTooLong = errors.New("response is too long")
+	errNeverPassedOn   = errors.New("response can never be passed on")
+)
 
 // servePlain buffers the complete response before it passes any of it on, so
 // that a safe request can be retried.
@@ -80,7 +83,7 @@
 	}
 	defer x.Close()
 	c.possibleReceipts++
-	resp, err := readResponse(x)
+	resp, err := readPlainResponse(x)
 	if x.Decoded.HasLoad {
 		c.Balancer.ReportLoad(id, x.Decoded.Running+x.Decoded.Waiting)
 	}
@@ -91,6 +94,20 @@
 	return resp, err
 }
 
+// readPlainResponse reads a response, unless only its header is needed. A body that
+// is never passed on may have no end. If it has a length, it is read so that the
+// connection can be reused, except after an unsigned success, which is a fault.
+func readPlainResponse(x *connection.Exchange) (*response, error) {
+	unsigned := x.Status < http.StatusMultipleChoices && !x.Decoded.Signed
+	switch {
+	case x.Decoded.NotRun && !x.SelfDelimited:
+		return &response{status: x.Status, header: x.Header, head: x.Decoded}, nil
+	case unsigned && !x.Decoded.NotRun, x.Status == http.StatusServiceUnavailable && !x.SelfDelimited:
+		return nil, fmt.Errorf("%w: status %d, signed %t", errNeverPassedOn, x.Status, x.Decoded.Signed)
+	}
+	return readResponse(x)
+}
+
 func readResponse(x *connection.Exchange) (*response, error) {
 	body, err := io.ReadAll(io.LimitReader(x, maxResponseBytes+1))
 	if err != nil {
--- a/internal/request/relay/unframed_test.go
+++ b/internal/request/relay/unframed_test.go
@@ -128,6 +128,36 @@
 	}
 }
 
+// TestUnneededUnframedBody guards against requests that are held until their
+// deadline by the body of a response that is never passed on.
+func TestUnneededUnframedBody(t *testing.T) {
+	for name, head := range map[string]string{
+		"unsigned success":             "HTTP/1.1 200 OK\r\n",
+		"not run":                      "HTTP/1.1 503 X\r\nNot-Run: 1\r\n",
+		"not run, HTTP/1.0":            "HTTP/1.0 503 X\r\nNot-Run: 1\r\n",
+		"503 that does not say so":     "HTTP/1.1 503 X\r\nSeal: x\r\n",
+		"success without end":          "HTTP/1.1 200 OK\r\nContent-Length: 1000000000000\r\n",
+		"unsigned success, in chunks":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		"unsigned success, with close": "HTTP/1.1 200 OK\r\nConnection: close\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, respondUnframedHead(head, waitForCaller), respondOK("second"))
+			begin := time.Now()
+			assertResponse(t, h.call(t, http.MethodPost, "/safe/x"), 200, "second")
+			assertTook(t, begin, time.Second)
+		})
+	}
+	t.Run("an unsafe request", func(t *testing.T) {
+		h := newHarness(t, respondUnframedHead("HTTP/1.1 503 X\r\nNot-Run: 1\r\n", waitForCaller), respondOK("second"))
+		begin := time.Now()
+		assertResponse(t, h.call(t, http.MethodPost, "/unsafe/x"), 200, "second")
+		h = newHarness(t, respondUnframedHead("HTTP/1.1 200 OK\r\n", waitForCaller), respondOK("second"))
+		assertResponse(t, h.call(t, http.MethodPost, "/unsafe/x"), 502, "")
+		assertRequestCount(t, h, 1)
+		assertTook(t, begin, time.Second)
+	})
+}
+
 // TestStatusWithoutBody guards against responses without a body that are taken for
 // unframed ones.
 func TestStatusWithoutBody(t *testing.T) {
