Do not pass on a stream as complete that ends before its first event

Cause: a stream without a length or chunks that ended between two events counted as complete, also before its first event. An upstream that fails right after its header leaves the same bytes. Callers got 200 with an empty, complete response; and a stream that had broken inside an event and went on at such an upstream ended as complete although at least that event was missing.

Change: without a length or chunks, a stream that ends before its first event is broken, unless the caller has an event after which nothing may be left. It is also broken if the last upstream broke off inside an event; event.Reader reports that as ErrTruncated for a reset too. Streams with a length or chunks and responses to HEAD are handled as before.

--- a/internal/request/event/reader.go
+++ b/internal/request/event/reader.go
@@ -59,6 +59,8 @@
 			return Event{}, io.EOF
 		case err == io.EOF:
 			return Event{}, ErrTruncated
+		case err != nil && len(r.raw) > 0 && err != ErrTooLong:
+			return Event{}, fmt.Errorf("%w: %w", ErrTruncated, err)
 		case err != nil:
 			return Event{}, fmt.Errorf("read event: %w", err)
 		}
--- a/internal/request/event/reader_test.go
+++ b/internal/request/event/reader_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"snipeford/internal/request/event"
 )
@@ -30,6 +31,18 @@
 	}
 }
 
+// TestFailedRead guards against a stream that is reset inside an event and not
+// reported as one that has an event left.
+func TestFailedRead(t *testing.T) {
+	failure := errors.New("reset")
+	for text, truncated := range map[string]bool{"": false, "id: 1\n": true, "id: 1\nda": true} {
+		r := event.NewReader(io.MultiReader(strings.NewReader(text), iotest.ErrReader(failure)))
+		if _, err := r.Next(); !errors.Is(err, failure) || errors.Is(err, event.ErrTruncated) != truncated {
+			t.Errorf("%q: got %v, want %v, truncated %t", text, err, failure, truncated)
+		}
+	}
+}
+
 func FuzzNext(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Add("\n\n\r\n")
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io"
+	"net/http"
 	"strconv"
 
 	"snipeford"
@@ -17,6 +18,9 @@
 	first := true
 	for {
 		e, err := events.Next()
+		if errors.Is(err, io.EOF) && first && s.needsEvent(x) {
+			err = errNoEvents
+		}
 		if errors.Is(err, io.EOF) {
 			s.reportEnd(p, false, "")
 			return s.complete(x)
@@ -24,6 +28,7 @@
 		if err != nil {
 			s.reportEnd(p, s.ctx.Err() == nil, "")
 			s.exclude(p, "")
+			s.truncated = s.truncated || errors.Is(err, event.ErrTruncated)
 			s.Log.Decided("stream broke", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Events", s.eventCount, "LastEvent", s.lastEventID)
 			return false
 		}
@@ -31,7 +36,7 @@
 			onProgress()
 		}
 		if first && e.HasData {
-			first = false
+			first, s.truncated = false, false
 			s.Placer.ReportFirstEvent(s.service, p.RequestID, snipeford.EngineLoad{Known: x.Decoded.HasLoad, Running: x.Decoded.Running, Waiting: x.Decoded.Waiting})
 		}
 		if !s.writeEvent(x, e) {
@@ -41,6 +46,15 @@
 	}
 }
 
+// errNoEvents means that a stream ended right after its header.
+var errNoEvents = errors.New("stream ended before its first event")
+
+// needsEvent reports whether a stream without events is broken: nothing but the end
+// of the connection ended it, and at least one event is left for the caller.
+func (s *streamRequest) needsEvent(x *connection.Exchange) bool {
+	return !x.SelfDelimited && (s.lastEventID == "" || s.truncated) && s.r.Method != http.MethodHead
+}
+
 // writeEvent passes on one event, unless the caller has received it already. It
 // returns false if the caller cannot be written to.
 func (s *streamRequest) writeEvent(x *connection.Exchange, e event.Event) bool {
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -26,8 +26,10 @@
 	headWritten bool
 	// lastEventID is the id of the last event that the caller has received, and
 	// lastEventNumber is the id as a number, or -1.
-	lastEventID      string
-	lastEventNumber  int64
+	lastEventID     string
+	lastEventNumber int64
+	// truncated is set while the last event that an upstream sent broke off.
+	truncated        bool
 	eventCount       int
 	timeToFirstEvent time.Duration
 	maxEventGap      time.Duration
--- a/internal/request/relay/unframed_test.go
+++ b/internal/request/relay/unframed_test.go
@@ -277,6 +277,41 @@
 	assertRequestCount(t, h, 1)
 }
 
+// TestUnframedStreamWithoutEvents guards against an upstream that fails right after
+// its header, and whose stream is passed on as a complete one without events.
+func TestUnframedStreamWithoutEvents(t *testing.T) {
+	assertNothingReceived(t, respondUnframed(closeConn))
+	t.Run("HTTP/1.0", func(t *testing.T) {
+		assertNothingReceived(t, respondUnframedHead("HTTP/1.0 200 OK\r\nSeal: x\r\n", closeConn))
+	})
+	t.Run("reset", func(t *testing.T) { assertNothingReceived(t, respondUnframed(resetConn)) })
+	t.Run("only a comment", func(t *testing.T) {
+		h := newHarness(t, respondUnframed(closeConn, ": open\n\n"), streamEvents(1, 3, true))
+		assertResponse(t, h.call(t, http.MethodPost, "/resumable/x"), 200, ": open\n\n"+eventText(1, 3))
+		h = newHarness(t, respondUnframed(closeConn, ": open\n\n"), streamEvents(1, 3, true))
+		assertBroken(t, h.call(t, http.MethodPost, "/once/x"), ": open\n\n")
+	})
+	t.Run("nothing is left to send", func(t *testing.T) {
+		h := newHarness(t, respondUnframed(closeConn), streamEvents(8, 9, true))
+		assertResponse(t, h.call(t, http.MethodPost, "/resumable/x", "Last", "7"), 200, "")
+		assertRequestCount(t, h, 1)
+	})
+	for name, broken := range map[string]func(net.Conn, *http.Request){
+		"an event is left": respondUnframed(closeConn, eventText(1, 3), "id: 4\n"), "an event is left after a reset": respondUnframed(resetConn, eventText(1, 3), "id: 4\n"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, broken, respondUnframed(closeConn), streamEvents(4, 6, true))
+			assertBroken(t, h.call(t, http.MethodPost, "/resumable/x"), eventText(1, 3))
+			assertRequestCount(t, h, 2)
+		})
+	}
+	t.Run("an empty stream with a length", func(t *testing.T) {
+		h := newHarness(t, respondOK(""), streamEvents(1, 3, true))
+		assertResponse(t, h.call(t, http.MethodPost, "/once/x"), 200, "")
+		assertRequestCount(t, h, 1)
+	})
+}
+
 // TestStalledUnframedStream guards against a stream that never ends because nothing
 // more arrives, not even the end of its connection.
 func TestStalledUnframedStream(t *testing.T) {
