Break a stream off at lines that are no field of an event

Cause: event.Reader passed on everything up to an empty line. In a stream that ends with its connection, nothing else tells events from other bytes: callers got the head of a response to another request as the end of a complete stream, and lines without end until the deadline.

Change: a line must be a comment or a field, whose name may be any of letters, digits, hyphens and underscores; only standard fields may lack the colon. Another line ends the stream with ErrMalformed, so that it is resumed or broken off after its last event.

--- a/internal/request/event/reader.go
+++ b/internal/request/event/reader.go
@@ -20,6 +20,8 @@
 	ErrTruncated = errors.New("stream ended inside an event")
 	// ErrTooLong means that an event is longer than maxEventBytes.
 	ErrTooLong = errors.New("event is too long")
+	// ErrMalformed means that a line is not a field of an event.
+	ErrMalformed = errors.New("line is not a field of an event")
 )
 
 // Event is one event of a stream.
@@ -68,6 +70,9 @@
 			e.Raw = r.raw
 			return e, nil
 		}
+		if !isField(line) {
+			return Event{}, ErrMalformed
+		}
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			e.ID = string(bytes.TrimSpace(value))
 		}
@@ -75,6 +80,24 @@
 	}
 }
 
+// isField reports whether a line is a comment, or a field with any name that consists
+// of letters, digits, hyphens and underscores. Only standard fields may lack a colon.
+func isField(line []byte) bool {
+	name, _, ok := bytes.Cut(line, []byte(":"))
+	if !ok {
+		switch string(line) {
+		case "data", "event", "id", "retry":
+			return true
+		}
+		return false
+	}
+	return bytes.IndexFunc(name, func(r rune) bool { return !isNameRune(r) }) < 0
+}
+
+func isNameRune(r rune) bool {
+	return r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_'
+}
+
 // readLine appends the next line to raw.
 func (r *Reader) readLine() error {
 	for {
--- a/internal/request/event/reader_test.go
+++ b/internal/request/event/reader_test.go
@@ -43,6 +43,22 @@
 	}
 }
 
+// TestMalformed guards against bytes that are no event and are passed on as one.
+func TestMalformed(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "garbage\n\n", "<p>data: no</p>\n\n", "\x00\x01: 1\n\n", "id: 1\nx\n\n", " id: 1\n\n", "{\"Cause\": 1}\n\n",
+	} {
+		if got, err := event.NewReader(strings.NewReader(text)).Next(); !errors.Is(err, event.ErrMalformed) {
+			t.Errorf("%q: got %q %v, want ErrMalformed", text, got.Raw, err)
+		}
+	}
+	for _, text := range []string{"\n", ":\n\n", "data\n\n", "id\ndata:x\n\n", "x-versions: 3\ndata: x\n\n", "X_1: y\n\n", "event: a\nretry: 5\n\n", "data: HTTP/1.1 200 OK\n\n"} {
+		if got, err := event.NewReader(strings.NewReader(text)).Next(); err != nil || string(got.Raw) != text {
+			t.Errorf("%q: got %q %v, want all of it", text, got.Raw, err)
+		}
+	}
+}
+
 func FuzzNext(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Add("\n\n\r\n")
--- a/internal/request/relay/unframed_test.go
+++ b/internal/request/relay/unframed_test.go
@@ -259,7 +259,10 @@
 	for _, first := range []int{2, 4} {
 		h := newHarness(t, broken, respondUnframed(closeConn, eventText(first, 6)))
 		assertResponse(t, h.call(t, http.MethodPost, "/resumable/x"), 200, eventText(1, 6))
-		assertRequestCount(t, h, 2)
+		if got, want := h.upstreams.requestCount(), 2; got != want {
+			t.Errorf("got %d requests, want %d", got, want)
+			continue
+		}
 		if got := h.upstreams.requests[1].Header.Get("Last"); got != "3" {
 			t.Errorf("got last event %q, want 3", got)
 		}
@@ -346,6 +349,29 @@
 	}
 }
 
+// TestStreamWithOtherBytes guards against bytes that are no event, such as another
+// response, and are passed on because an empty line ends them.
+func TestStreamWithOtherBytes(t *testing.T) {
+	late := "HTTP/1.1 200 OK\r\nId: r0\r\nSeal: x\r\nContent-Length: 0\r\n\r\n"
+	for name, broken := range map[string]func(net.Conn, *http.Request){
+		"a response to another request": respondUnframed(closeConn, eventText(1, 3), late),
+		"lines without end":             respondUnframed(writeWithoutEnd("x\n\n"), eventText(1, 3)),
+		"in chunks": func(c net.Conn, r *http.Request) {
+			writeStreamHead(c, r)
+			writeChunk(c, eventText(1, 3)+"x\n\n")
+			fmt.Fprint(c, "0\r\n\r\n")
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			begin := time.Now()
+			assertResumedAfter3(t, broken)
+			h := newHarness(t, broken, streamEvents(4, 6, true))
+			assertBroken(t, h.call(t, http.MethodPost, "/once/x"), eventText(1, 3))
+			assertTook(t, begin, time.Second)
+		})
+	}
+}
+
 // keptCall sends a request over a connection that is kept, and returns the response
 // and its body.
 func keptCall(t *testing.T, c net.Conn, reader *bufio.Reader, path string) (*http.Response, string, error) {
