--- a/internal/request/event/reader_test.go
+++ b/internal/request/event/reader_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strings"
 	"testing"
+	"testing/iotest"
 
 	"snipeford/internal/request/event"
 )
@@ -30,6 +31,34 @@
 	}
 }
 
+// TestFailedRead guards against a stream that is reset inside an event and not
+// reported as one that has an event left.
+func TestFailedRead(t *testing.T) {
+	failure := errors.New("reset")
+	for text, truncated := range map[string]bool{"": false, "id: 1\n": true, "id: 1\nda": true} {
+		r := event.NewReader(io.MultiReader(strings.NewReader(text), iotest.ErrReader(failure)))
+		if _, err := r.Next(); !errors.Is(err, failure) || errors.Is(err, event.ErrTruncated) != truncated {
+			t.Errorf("%q: got %v, want %v, truncated %t", text, err, failure, truncated)
+		}
+	}
+}
+
+// TestMalformed guards against bytes that are no event and are passed on as one.
+func TestMalformed(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", "garbage\n\n", "<p>data: no</p>\n\n", "\x00\x01: 1\n\n", "id: 1\nx\n\n", " id: 1\n\n", "{\"Cause\": 1}\n\n",
+	} {
+		if got, err := event.NewReader(strings.NewReader(text)).Next(); !errors.Is(err, event.ErrMalformed) {
+			t.Errorf("%q: got %q %v, want ErrMalformed", text, got.Raw, err)
+		}
+	}
+	for _, text := range []string{"\n", ":\n\n", "data\n\n", "id\ndata:x\n\n", "x-versions: 3\ndata: x\n\n", "X_1: y\n\n", "event: a\nretry: 5\n\n", "data: HTTP/1.1 200 OK\n\n"} {
+		if got, err := event.NewReader(strings.NewReader(text)).Next(); err != nil || string(got.Raw) != text {
+			t.Errorf("%q: got %q %v, want all of it", text, got.Raw, err)
+		}
+	}
+}
+
 func FuzzNext(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n\n")
 	f.Add("\n\n\r\n")
