Count a connection as busy from the start of each request

Callers that send a request before they have the response to the one before it got no response to it when their node stopped: 2.3 s after SIGTERM, and after 0.4 s in snipeford serve, where http.Server.Shutdown had answered them.

Cause: a connection counted as idle from the end of a response until the next Read; a request that lay in the server's buffer needs none. Change: the server's state Active marks the connection as busy, and takes back a deadline set to close it as idle.

--- a/internal/operate/drain/drain.go
+++ b/internal/operate/drain/drain.go
@@ -27,9 +27,11 @@
 type conn struct {
 	net.Conn
 	mu sync.Mutex
-	// idle is set from the end of a response until data is read, and busy from then on
-	// until the end of the next response.
+	// idle is set from the end of a response until the next request begins, and busy
+	// from then on until the end of its response.
 	idle, busy bool
+	// closing is set by closeIfIdle.
+	closing bool
 }
 
 // Read marks the connection as busy if it returns data.
@@ -43,6 +45,20 @@
 	return n, err
 }
 
+// setActive marks the connection as busy with a request that may have been read together
+// with the one before it, so that no Read precedes it. The deadline of closeIfIdle would
+// end this request.
+func (c *conn) setActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.busy = false, true
+	if c.closing {
+		c.closing = false
+		// If this fails, the connection is closed already.
+		_ = c.SetReadDeadline(time.Time{})
+	}
+}
+
 // CloseWrite closes the sending half, which http.Server does before it closes a
 // connection with unread data.
 func (c *conn) CloseWrite() error {
@@ -66,6 +82,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
+		c.closing = true
 		// If this fails, the connection is closed already.
 		_ = c.SetReadDeadline(now)
 	}
@@ -107,6 +124,8 @@
 			l.conns = map[net.Conn]*conn{}
 		}
 		l.conns[raw] = c
+	case http.StateActive:
+		c.setActive()
 	case http.StateIdle:
 		c.setIdle()
 	case http.StateClosed, http.StateHijacked:
