Wait at the end of a stop until responses are written

Callers whose connection took the response slowly, or whose node had little processor time, got no response although the node had seconds left.

Cause: a stopping node closed all connections once no handler was active, 0.4 s after its listener; net/http writes the end of a response after the handler has returned. A request whose header took longer than 0.4 s to arrive was cut too. Change: it waits until no connection is busy, until 0.4 s before the kill at the latest, as before.

--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -298,8 +298,9 @@
 }
 
 // closeCallers accepts no more connections and waits for the requests that have begun
-// to arrive: the relay counts them only from the end of their headers. http.Server's
-// own Shutdown closes such connections without a response.
+// to arrive and for the responses that are being written: the relay counts requests only
+// from the end of their headers until their handlers return. http.Server's own Shutdown
+// closes connections on which a request is arriving without a response.
 func (n *Node) closeCallers(ctx context.Context, start snipeford.Instant) {
 	if err := n.callerListener.Close(); err != nil {
 		n.log.Warn("cannot close the callers' listener", err)
@@ -309,7 +310,7 @@
 	for n.callerConns.Open() > 0 && n.timer.Sleep(ctx, drain.PollInterval) {
 		n.callerConns.CloseIdle(n.timer.Deadline(0))
 		now := n.timer.Now()
-		if now >= killedAt || now >= arrivalsEnd && n.relay.Active() == 0 {
+		if now >= killedAt || now >= arrivalsEnd && n.callerConns.Busy() == 0 {
 			return
 		}
 	}
