Log the shared parts of a prompt when its engine ends

Callers saw engine after engine crash, and the logs could not tell whether one prompt caused it: the lines about a broken stream name neither the parts of the prompt nor whether the engine ended or only the response broke off.

A request now carries the ids of the parts that other prompts may share. A broken stream and an attempt without a response log them. The node then opens a connection to the engine; if its VM refuses it, the engine has ended, which the line 'engine ended' reports with the parts and the time since the first event, and the counter Requests.EngineEnded counts.

go test of platform, relay, connection and edge passes.

--- a/exchange.go
+++ b/exchange.go
@@ -18,6 +18,9 @@
 	MaxOutput Tokens
 	// OutputHint is the caller's estimate of the response length, or zero.
 	OutputHint Tokens
+	// PrefixParts lists the parts of the prompt that other requests may share, in
+	// order. The last part of a prompt belongs to its request alone and is left out.
+	PrefixParts []PrefixPart
 	// LastEventID is the id of the last event that the caller received before it
 	// resumes a stream, or empty.
 	LastEventID string
--- a/identifier.go
+++ b/identifier.go
@@ -57,6 +57,10 @@
 // group has a higher one.
 type FencingToken uint64
 
+// PrefixPart identifies a part of a prompt that several requests may share, such
+// as a system prompt or a document.
+type PrefixPart string
+
 // Tokens is a number of prompt or output tokens.
 type Tokens int64
 
--- a/internal/operate/metric/edge.go
+++ b/internal/operate/metric/edge.go
@@ -58,6 +58,9 @@
 // Retried counts a retry at another upstream.
 func (e *Edge) Retried(kind snipeford.RouteKind) { e.count("Requests", string(kind), "Repeated") }
 
+// EngineEnded counts a request whose engine ended while it ran.
+func (e *Edge) EngineEnded() { e.count("Requests", "EngineEnded") }
+
 // StoreCalled counts a call to the users' platform's store.
 func (e *Edge) StoreCalled(failed bool) {
 	if failed {
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"strconv"
+	"time"
 
 	"snipeford"
 	"snipeford/internal/request/event"
@@ -14,7 +15,7 @@
 // for each that has data. It returns false if the stream breaks before its end.
 func (s *streamRequest) relayEvents(p snipeford.Placement, x *connection.Exchange, onProgress func()) bool {
 	events := event.NewReader(x)
-	first := true
+	firstEventAt := snipeford.Instant(0)
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
@@ -24,14 +25,15 @@
 		if err != nil {
 			s.reportEnd(p, s.ctx.Err() == nil, "")
 			s.exclude(p, "")
-			s.Log.Decided("stream broke", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Events", s.eventCount, "LastEvent", s.lastEventID)
+			s.Log.Decided("stream broke", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Events", s.eventCount, "LastEvent", s.lastEventID, "PrefixParts", s.head.PrefixParts)
+			s.checkEnded(p, s.decodeTime(firstEventAt))
 			return false
 		}
 		if e.HasData {
 			onProgress()
 		}
-		if first && e.HasData {
-			first = false
+		if firstEventAt == 0 && e.HasData {
+			firstEventAt = s.Timer.Now()
 			s.Placer.ReportFirstEvent(s.service, p.RequestID, snipeford.EngineLoad{Known: x.Decoded.HasLoad, Running: x.Decoded.Running, Waiting: x.Decoded.Waiting})
 		}
 		if !s.writeEvent(x, e) {
@@ -41,6 +43,15 @@
 	}
 }
 
+// decodeTime returns the time since the first event of an attempt, or zero if there
+// was none.
+func (s *streamRequest) decodeTime(firstEventAt snipeford.Instant) time.Duration {
+	if firstEventAt == 0 {
+		return 0
+	}
+	return s.Timer.Now().Sub(firstEventAt)
+}
+
 // writeEvent passes on one event, unless the caller has received it already. It
 // returns false if the caller cannot be written to.
 func (s *streamRequest) writeEvent(x *connection.Exchange, e event.Event) bool {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -96,6 +96,7 @@
 func (b *stubBalancer) Refused(snipeford.RouteKind, snipeford.Cause)                {}
 func (b *stubBalancer) Aborted(snipeford.RouteKind)                                 {}
 func (b *stubBalancer) Retried(snipeford.RouteKind)                                 {}
+func (b *stubBalancer) EngineEnded()                                                {}
 
 // stubPlacer is a Placer that selects upstreams like stubBalancer.
 type stubPlacer struct{ *stubBalancer }
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -64,6 +64,8 @@
 	Aborted(kind snipeford.RouteKind)
 	// Retried records a retry at another upstream.
 	Retried(kind snipeford.RouteKind)
+	// EngineEnded records a request whose engine ended while it ran.
+	EngineEnded()
 }
 
 // Server is the HTTP handler for callers' requests.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -100,6 +100,7 @@
 		FirstEventTarget: s.nextEventTarget(), EventGapTarget: s.route.EventGapTarget,
 		StreamIdleTimeout: s.route.StreamIdleTimeout(), FirstEventTimeout: s.route.StreamIdleTimeout() - s.idleTime(),
 		TimeLeft: s.timeLeft(), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
+		PrefixParts: s.head.PrefixParts,
 	})
 	if p.Refused {
 		s.Log.Decided("no place", s.head.RequestID, "By", by, "PromptTokens", s.head.Prompt)
@@ -256,7 +257,10 @@
 	if !upstreamNotAtFault {
 		s.exclude(p, "")
 	}
-	s.Log.Decided("upstream gave no answer", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Attempts", s.possibleRuns)
+	s.Log.Decided("upstream gave no answer", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Attempts", s.possibleRuns, "PrefixParts", s.head.PrefixParts)
+	if sent {
+		s.checkEnded(p, 0)
+	}
 	return false
 }
 
--- a/internal/upstream/connection/pool.go
+++ b/internal/upstream/connection/pool.go
@@ -5,6 +5,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -107,6 +108,32 @@
 	return fmt.Errorf("upstream does not accept connections: %w", trace.ConvertSystemError(err))
 }
 
+// Refuses reports whether the upstream's VM refuses connections to its address: the
+// upstream has ended, whereas its VM has not. It tries a second time after
+// endedRetryDelay, because a process that ends may close its listener last.
+func (p *Pool) Refuses(ctx context.Context, address string) bool {
+	for try := range reachabilityTries {
+		if try > 0 && !p.Timer.Sleep(ctx, endedRetryDelay) {
+			return false
+		}
+		dialer := net.Dialer{Timeout: endedCheckTimeout}
+		raw, err := dialer.DialContext(ctx, "tcp4", address)
+		if err != nil {
+			return errors.Is(err, unix.ECONNREFUSED)
+		}
+		// No data was sent, so an error of Close does not matter.
+		_ = raw.Close()
+	}
+	return false
+}
+
+const (
+	// endedCheckTimeout limits one attempt of Refuses. A VM refuses a connection
+	// within a network round trip.
+	endedCheckTimeout = 100 * time.Millisecond
+	endedRetryDelay   = 20 * time.Millisecond
+)
+
 // reachabilityTries is how many times CheckReachable tries to connect.
 const reachabilityTries = 2
 
--- /dev/null
+++ b/internal/upstream/connection/refuses_test.go
@@ -0,0 +1,34 @@
+package connection_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"testing"
+
+	"snipeford/internal/control/timer"
+	"snipeford/internal/upstream/connection"
+)
+
+func TestRefuses(t *testing.T) {
+	pool := &connection.Pool{Timer: &timer.Clock{}}
+	t.Run("an upstream that has ended", func(t *testing.T) {
+		listener, err := net.Listen("tcp4", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if !pool.Refuses(context.Background(), address) {
+			t.Error("got false, want true: nothing listens there")
+		}
+	})
+	t.Run("an upstream that resets its responses", func(t *testing.T) {
+		address := startUpstream(t, func(c net.Conn, _ *http.Request, _ int64) { _ = c.Close() })
+		if pool.Refuses(context.Background(), address) {
+			t.Error("got true, want false: it accepts connections")
+		}
+	})
+}
--- a/placement.go
+++ b/placement.go
@@ -29,6 +29,8 @@
 	// AvoidHelpers requests a single engine if the prompt fits its memory. It is
 	// set after several helpers have failed this request.
 	AvoidHelpers bool `json:"Alone"`
+	// PrefixParts lists the parts of the prompt that other requests may share.
+	PrefixParts []PrefixPart `json:"Parts,omitempty"`
 }
 
 // Placement is the reply to a PlacementRequest.
