--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -6,6 +6,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -53,6 +54,8 @@
 	Peers  map[snipeford.NodeID]Peer
 	// Listed reports whether a snapshot of the upstream rows has been applied.
 	Listed bool
+	// Quarantines holds the nodes' decisions on prefix parts. A part may have several.
+	Quarantines []snipeford.Quarantine
 }
 
 // State is the mutable directory. Its zero value is empty and ready to use.
@@ -61,7 +64,9 @@
 	outDomains map[snipeford.FailureDomain]bool
 	upstreams  map[snipeford.UpstreamID]Upstream
 	peers      map[snipeford.NodeID]Peer
-	listed     bool
+	// quarantines holds the decisions by the key of their row.
+	quarantines map[string][]snipeford.Quarantine
+	listed      bool
 	// keepMissingUntil is set by KeepMissing.
 	keepMissingUntil snipeford.Instant
 }
@@ -92,6 +97,7 @@
 		s.outDomains = map[snipeford.FailureDomain]bool{}
 		s.upstreams = map[snipeford.UpstreamID]Upstream{}
 		s.peers = map[snipeford.NodeID]Peer{}
+		s.quarantines = map[string][]snipeford.Quarantine{}
 	}
 }
 
@@ -195,8 +201,15 @@
 	var invalid []InvalidRow
 	if b.Snapshot {
 		clear(s.peers)
+		clear(s.quarantines)
 	}
 	for _, change := range b.Changes {
+		if strings.HasPrefix(change.Key, quarantinePrefix) {
+			if err := s.applyQuarantines(change); err != nil {
+				invalid = append(invalid, InvalidRow{change.Key, err})
+			}
+			continue
+		}
 		id := snipeford.NodeID(change.Key)
 		if change.Removed {
 			delete(s.peers, id)
@@ -212,6 +225,28 @@
 	return invalid
 }
 
+// quarantinePrefix begins the keys of the rows that hold the decisions on prefix parts
+// that a node knows. They are among the nodes' rows, which all nodes follow.
+const quarantinePrefix = "quarantine/"
+
+// QuarantineKey returns the key of the row in which a node keeps its decisions.
+func QuarantineKey(node snipeford.NodeID) string { return quarantinePrefix + string(node) }
+
+// applyQuarantines applies a row of decisions, which is a list: a node that does not
+// know such rows cannot take it for a Peer.
+func (s *State) applyQuarantines(change snipeford.Change) error {
+	delete(s.quarantines, change.Key)
+	if change.Removed {
+		return nil
+	}
+	var list []snipeford.Quarantine
+	if err := json.Unmarshal(change.Value, &list); err != nil {
+		return fmt.Errorf("decode quarantines: %w", err)
+	}
+	s.quarantines[change.Key] = list
+	return nil
+}
+
 // Expire removes upstreams whose rows are still missing at the end of
 // ReregisterPeriod and reports whether it removed any.
 func (s *State) Expire(now snipeford.Instant) bool {
@@ -234,6 +269,9 @@
 		}
 		v.Usable[u.Service] = append(v.Usable[u.Service], u)
 	}
+	for _, key := range slices.Sorted(maps.Keys(s.quarantines)) {
+		v.Quarantines = append(v.Quarantines, s.quarantines[key]...)
+	}
 	for _, list := range v.Usable {
 		slices.SortFunc(list, func(a, b Upstream) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	}
--- a/internal/control/directory/directory_test.go
+++ b/internal/control/directory/directory_test.go
@@ -143,6 +143,28 @@
 	assertUsable(t, s, 1)
 }
 
+func TestQuarantines(t *testing.T) {
+	s := &directory.State{}
+	row := change(t, directory.QuarantineKey("n1"), []snipeford.Quarantine{{Service: "s", Part: "bad", Generation: 1}})
+	s.Apply(0, snipeford.MemberRows, snipeford.Batch{Snapshot: true, Changes: []snipeford.Change{row}}, jsonDecoder{})
+	v := s.View()
+	if len(v.Quarantines) != 1 || v.Quarantines[0].Part != "bad" || len(v.Peers) != 0 {
+		t.Errorf("got quarantines %v and peers %v, want part bad and no peers", v.Quarantines, v.Peers)
+	}
+	t.Run("a node that does not know the row skips it", func(t *testing.T) {
+		var p directory.Peer
+		if err := json.Unmarshal(row.Value, &p); err == nil {
+			t.Errorf("got peer %+v, want an error", p)
+		}
+	})
+	t.Run("removed", func(t *testing.T) {
+		s.Apply(0, snipeford.MemberRows, snipeford.Batch{Changes: []snipeford.Change{{Key: row.Key, Removed: true}}}, jsonDecoder{})
+		if got := s.View().Quarantines; len(got) != 0 {
+			t.Errorf("got quarantines %v, want none", got)
+		}
+	})
+}
+
 func TestPeers(t *testing.T) {
 	s := &directory.State{}
 	invalid := s.Apply(0, snipeford.MemberRows, snipeford.Batch{Snapshot: true, Changes: []snipeford.Change{
--- a/internal/control/placer/fleet_test.go
+++ b/internal/control/placer/fleet_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -31,6 +32,8 @@
 	part      snipeford.PrefixPart
 	from      time.Duration
 	perSecond float64
+	// first is the first part of all requests with it, or empty if they differ.
+	first snipeford.PrefixPart
 }
 
 // simRequest is one request of a caller.
@@ -39,11 +42,12 @@
 	poison   snipeford.PrefixPart
 	attempts int
 	arrival  snipeford.Instant
-	// upstream, firstAt and endAt belong to the running attempt.
-	upstream snipeford.UpstreamID
-	firstAt  snipeford.Instant
-	endAt    snipeford.Instant
-	decoding bool
+	// upstream, startedAt, firstAt and endAt belong to the running attempt.
+	upstream  snipeford.UpstreamID
+	startedAt snipeford.Instant
+	firstAt   snipeford.Instant
+	endAt     snipeford.Instant
+	decoding  bool
 }
 
 // simEngine is an engine of which each start has another id.
@@ -69,6 +73,8 @@
 	// crashes and sends are the times of the crashes and sends by poison part.
 	crashes map[snipeford.PrefixPart][]snipeford.Instant
 	sends   map[snipeford.PrefixPart][]snipeford.Instant
+	// decisions are the nodes' decisions on prefix parts.
+	decisions []snipeford.Quarantine
 	// arrived and begun are the times at which sound requests arrived, and of these
 	// the ones whose first attempt got a first event.
 	arrived []snipeford.Instant
@@ -103,6 +109,7 @@
 			v.Usable["s"] = append(v.Usable["s"], directory.Upstream{Upstream: snipeford.Upstream{ID: f.engineID(i)}})
 		}
 	}
+	v.Quarantines = f.decisions
 	for i := range f.nodes {
 		f.apply(i, placer.DirectoryChanged{View: v})
 	}
@@ -141,25 +148,25 @@
 func (f *simFleet) addArrivals() {
 	if f.random.Float64() < simSoundRequests*simStep.Seconds() {
 		f.arrived = append(f.arrived, f.now)
-		f.arrive("")
+		f.arrive(poison{})
 	}
 	for _, p := range f.poisons {
 		if f.now >= snipeford.Instant(p.from) && f.random.Float64() < p.perSecond*simStep.Seconds() {
-			f.arrive(p.part)
+			f.arrive(p)
 		}
 	}
 }
 
 // arrive adds a request. One with a poison shares its other parts with sound ones.
-func (f *simFleet) arrive(bad snipeford.PrefixPart) {
+func (f *simFleet) arrive(p poison) {
 	f.count++
 	first := snipeford.PrefixPart(fmt.Sprint("first", f.random.IntN(simFirstParts)))
 	other := snipeford.PrefixPart(fmt.Sprint("other", f.random.IntN(simOtherParts)))
 	parts := []snipeford.PrefixPart{first, other}
-	if bad != "" {
-		parts = []snipeford.PrefixPart{first, bad, other}
+	if p.part != "" {
+		parts = []snipeford.PrefixPart{cmp.Or(p.first, first), p.part, other}
 	}
-	r := &simRequest{poison: bad, arrival: f.now, request: snipeford.PlacementRequest{
+	r := &simRequest{poison: p.part, arrival: f.now, request: snipeford.PlacementRequest{
 		RequestID: snipeford.RequestID(fmt.Sprint("r", f.count)), EntryNode: f.nodes[f.random.IntN(simNodes)].Node, Service: "s",
 		Prompt: 1_000, ExpectedOutput: 100, FirstEventTarget: 300 * time.Millisecond, EventGapTarget: 250 * time.Millisecond,
 		TimeLeft: 10 * time.Second, StreamIdleTimeout: 2 * time.Second, FirstEventTimeout: 2 * time.Second, PrefixParts: parts,
@@ -175,7 +182,9 @@
 
 // apply applies an event at a node and starts the requests that it places.
 func (f *simFleet) apply(node int, e placer.Event) {
-	for _, reply := range slices.Clone(f.nodes[node].Apply(f.now, e)) {
+	replies := slices.Clone(f.nodes[node].Apply(f.now, e))
+	f.decisions = append(f.decisions, f.nodes[node].Changes()...)
+	for _, reply := range replies {
 		r, ok := f.waiting[reply.Placement.RequestID]
 		if !ok || reply.Placement.Queued {
 			continue
@@ -197,13 +206,13 @@
 func (f *simFleet) start(r *simRequest, id snipeford.UpstreamID) {
 	if !f.runs(id) {
 		// The connection is refused: the request has not run.
-		f.reportEnd(r, placer.RequestEnded{Failed: true})
+		f.reportEnd(r, snipeford.RequestEnd{Failed: true})
 		r.request.Excluded = append(r.request.Excluded, id)
 		f.place(r)
 		return
 	}
 	r.attempts++
-	r.upstream, r.decoding = id, false
+	r.upstream, r.startedAt, r.decoding = id, f.now, false
 	r.firstAt = f.now.Add(100*time.Millisecond + time.Duration(f.random.IntN(100))*time.Millisecond)
 	r.endAt = r.firstAt.Add(simDecodeTime/2 + time.Duration(f.random.Int64N(int64(simDecodeTime))))
 	f.running[r.request.RequestID] = r
@@ -233,13 +242,13 @@
 			if r.poison == "" && r.attempts == 1 {
 				f.begun = append(f.begun, r.arrival)
 			}
-			f.apply(f.home, placer.FirstEventReceived{Service: "s", RequestID: id})
+			f.report(r, placer.FirstEventReceived{Service: "s", RequestID: id}, placer.FirstEventReceived{Service: "s", RequestID: id})
 		case f.now >= r.endAt && r.poison != "":
 			f.crashes[r.poison] = append(f.crashes[r.poison], f.now)
 			f.crash(r.upstream)
 		case f.now >= r.endAt:
 			delete(f.running, id)
-			f.reportEnd(r, placer.RequestEnded{})
+			f.reportEnd(r, snipeford.RequestEnd{Completed: true})
 		}
 	}
 }
@@ -268,7 +277,8 @@
 		}
 	}
 	for _, r := range broken {
-		f.reportEnd(r, placer.RequestEnded{Failed: true})
+		f.reportEnd(r, snipeford.RequestEnd{Failed: true})
+		f.reportCrash(r)
 		r.request.Excluded = append(r.request.Excluded, id)
 		if r.attempts < simMaxAttempts {
 			f.place(r)
@@ -276,10 +286,42 @@
 	}
 }
 
-// reportEnd reports the end of an attempt to the home.
-func (f *simFleet) reportEnd(r *simRequest, e placer.RequestEnded) {
-	e.Service, e.RequestID = "s", r.request.RequestID
-	f.apply(f.home, e)
+// replaceHome ends the process of the home; another node becomes the home. The rows of
+// the store hold the decisions made until then.
+func (f *simFleet) replaceHome() {
+	f.nodes[f.home] = &placer.State{Node: f.nodes[f.home].Node}
+	f.home = (f.home + 1) % simNodes
+	f.updateDirectory()
+	for i, node := range f.nodes {
+		if i != f.home {
+			f.apply(f.home, placer.NodeSynced{Node: node.Node, Known: node.Known(f.now)})
+		}
+	}
+}
+
+// reportEnd reports the end of an attempt.
+func (f *simFleet) reportEnd(r *simRequest, end snipeford.RequestEnd) {
+	e := placer.RequestEnded{Service: "s", RequestID: r.request.RequestID, End: end}
+	f.report(r, e, e)
+}
+
+// report applies an event about a request at the home and, if that is another node, at
+// the entry node.
+func (f *simFleet) report(r *simRequest, home, entry placer.Event) {
+	f.apply(f.home, home)
+	if i := f.entry(r); i != f.home {
+		f.apply(i, entry)
+	}
+}
+
+// reportCrash reports an attempt whose engine ended.
+func (f *simFleet) reportCrash(r *simRequest) {
+	c := snipeford.UpstreamCrash{Service: "s", Upstream: r.upstream, PrefixParts: r.request.PrefixParts, Age: f.now.Sub(r.startedAt)}
+	if r.decoding {
+		c.DecodeTime = f.now.Sub(r.firstAt)
+	}
+	atEntry := f.entry(r) == f.home
+	f.report(r, placer.UpstreamCrashed{Crash: c, Own: atEntry, AtHome: true}, placer.UpstreamCrashed{Crash: c, Own: true})
 }
 
 // countBetween returns the number of instants from a time until another one.
--- a/internal/control/placer/loop.go
+++ b/internal/control/placer/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"snipeford"
@@ -18,6 +19,9 @@
 	Timer *timer.Clock
 	// Deliver sends a reply to another node. It must not block.
 	Deliver func(PlacementReply)
+	// Decided, if not nil, is called with new decisions on prefix parts and all that
+	// are known. It must not block.
+	Decided func(changes, all []snipeford.Quarantine)
 
 	state  State
 	events chan Event
@@ -66,24 +70,24 @@
 	return snipeford.Placement{RequestID: request.RequestID, Refused: true}
 }
 
-// PlacedCalls returns the running requests of this node, or nil if Run has
+// Known returns what this node reports to a new home, or nothing if Run has
 // returned.
-func (l *Loop) PlacedCalls() []snipeford.PlacedCall {
-	q := placedCallsQuery{make(chan []snipeford.PlacedCall, 1)}
+func (l *Loop) Known() Known {
+	q := knownQuery{make(chan Known, 1)}
 	l.Send(q)
 	select {
-	case calls := <-q.reply:
-		return calls
+	case known := <-q.reply:
+		return known
 	case <-l.done:
-		return nil
+		return Known{}
 	}
 }
 
-// placedCallsQuery asks for the running requests of this node. It is queued as
-// an event, so that the reply reflects all events sent before it.
-type placedCallsQuery struct{ reply chan []snipeford.PlacedCall }
+// knownQuery asks for what this node knows. It is queued as an event, so that the
+// reply reflects all events sent before it.
+type knownQuery struct{ reply chan Known }
 
-func (placedCallsQuery) event() {}
+func (knownQuery) event() {}
 
 // Run applies events until ctx ends.
 func (l *Loop) Run(ctx context.Context) error {
@@ -102,8 +106,8 @@
 }
 
 func (l *Loop) apply(e Event) {
-	if q, ok := e.(placedCallsQuery); ok {
-		q.reply <- l.state.PlacedCalls(l.Timer.Now(), l.Node)
+	if q, ok := e.(knownQuery); ok {
+		q.reply <- l.state.Known(l.Timer.Now())
 		return
 	}
 	for _, r := range l.state.Apply(l.Timer.Now(), e) {
@@ -113,6 +117,9 @@
 		}
 		l.Deliver(r)
 	}
+	if changes := l.state.Changes(); len(changes) > 0 && l.Decided != nil {
+		l.Decided(slices.Clone(changes), l.state.Quarantines())
+	}
 }
 
 func (l *Loop) reply(p snipeford.Placement) {
--- a/internal/control/placer/poison_test.go
+++ b/internal/control/placer/poison_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,7 +53,8 @@
 	for seed := range uint64(6) {
 		for _, perSecond := range []float64{0.5, 3, 10} {
 			t.Run(fmt.Sprintf("%v a second, seed %d", perSecond, seed), func(t *testing.T) {
-				p := poison{"bad", 10 * time.Second, perSecond}
+				t.Parallel()
+				p := poison{part: "bad", from: 10 * time.Second, perSecond: perSecond}
 				f := newSimFleet(seed, p)
 				f.run(60 * time.Second)
 				f.checkPoison(t, p)
@@ -60,3 +62,97 @@
 		}
 	}
 }
+
+// TestPoisonSharesFirstPart guards against a quarantine of the first part of a poison
+// request, which sound requests have, too.
+func TestPoisonSharesFirstPart(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			p := poison{part: "bad", from: 10 * time.Second, perSecond: 3, first: "first0"}
+			f := newSimFleet(seed, p)
+			f.run(60 * time.Second)
+			f.checkPoison(t, p)
+			f.checkQuarantined(t, "bad")
+		})
+	}
+}
+
+// checkQuarantined checks that exactly the given parts are quarantined at all nodes.
+func (f *simFleet) checkQuarantined(t *testing.T, want ...snipeford.PrefixPart) {
+	t.Helper()
+	f.updateDirectory()
+	for _, node := range f.nodes {
+		var got []snipeford.PrefixPart
+		for _, q := range node.Quarantines() {
+			if !q.Released {
+				got = append(got, q.Part)
+			}
+		}
+		if !slices.Equal(got, want) {
+			t.Errorf("node %s: got parts %v quarantined, want %v", node.Node, got, want)
+		}
+	}
+}
+
+func TestTwoPoisons(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		second time.Duration
+	}{{"at once", 10 * time.Second}, {"one after the other", 25 * time.Second}} {
+		for seed := range uint64(6) {
+			t.Run(fmt.Sprintf("%s, seed %d", tt.name, seed), func(t *testing.T) {
+				t.Parallel()
+				a := poison{part: "bad1", from: 10 * time.Second, perSecond: 2}
+				b := poison{part: "bad2", from: tt.second, perSecond: 3}
+				f := newSimFleet(seed, a, b)
+				f.run(60 * time.Second)
+				f.checkPoison(t, a)
+				f.checkPoison(t, b)
+				f.checkQuarantined(t, "bad1", "bad2")
+			})
+		}
+	}
+}
+
+// TestCrashOfManyEngines checks that engines that end together, as in an outage of a
+// failure domain, make no prompt suspect.
+func TestCrashOfManyEngines(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			f := newSimFleet(seed)
+			for outage := range 5 {
+				f.run(time.Duration(10*(outage+1)) * time.Second)
+				for i := range simEngines / 3 {
+					f.crash(f.engineID((6*outage + i) % simEngines))
+				}
+			}
+			f.run(60 * time.Second)
+			if len(f.decisions) > 0 {
+				t.Errorf("got decisions %v, want none", f.decisions)
+			}
+		})
+	}
+}
+
+// TestQuarantineOutlivesHome checks that a part stays quarantined when the home of the
+// service ends, at any time, and other nodes become homes.
+func TestQuarantineOutlivesHome(t *testing.T) {
+	for _, lost := range []time.Duration{10500, 11000, 12000, 14000, 20000} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprintf("after %d ms, seed %d", lost, seed), func(t *testing.T) {
+				t.Parallel()
+				p := poison{part: "bad", from: 10 * time.Second, perSecond: 3}
+				f := newSimFleet(seed, p)
+				f.run(lost * time.Millisecond)
+				f.replaceHome()
+				f.run(30 * time.Second)
+				f.replaceHome()
+				f.run(60 * time.Second)
+				f.checkPoison(t, p)
+				f.checkQuarantined(t, "bad")
+			})
+		}
+	}
+}
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -13,6 +13,7 @@
 	"snipeford"
 	"snipeford/internal/control/directory"
 	"snipeford/internal/policy/placement"
+	"snipeford/internal/policy/quarantine"
 )
 
 // Event is an input of State.Apply.
@@ -33,20 +34,35 @@
 	Load      snipeford.EngineLoad
 }
 
-// RequestEnded reports that a request has ended. FaultUpstream names the
-// upstream that made it fail if that is another one than the request ran on.
+// RequestEnded reports that a request has ended.
 type RequestEnded struct {
-	Service       snipeford.ServiceName
-	RequestID     snipeford.RequestID
-	Failed        bool
-	FaultUpstream snipeford.UpstreamID
+	Service   snipeford.ServiceName
+	RequestID snipeford.RequestID
+	End       snipeford.RequestEnd
+}
+
+// UpstreamCrashed reports that an engine ended while a request ran on it. Own is set if
+// this node received the request, and AtHome if it is the home of the service. Other
+// nodes only keep their own reports, for the next home: a node that sees some of the
+// requests would suspect those that ran beside the poison request.
+type UpstreamCrashed struct {
+	Crash       snipeford.UpstreamCrash
+	Own, AtHome bool
 }
 
-// NodeSynced reports all running requests of another node. They replace those
-// that were reported before.
+// NodeSynced reports what another node knows. Its running requests replace those that
+// were reported before.
 type NodeSynced struct {
 	Node  snipeford.NodeID
-	Calls []snipeford.PlacedCall
+	Known Known
+}
+
+// Known is what a node reports to a new home of a service.
+type Known struct {
+	// Calls are the running requests of the node.
+	Calls       []snipeford.PlacedCall
+	Quarantines []snipeford.Quarantine    `json:",omitempty"`
+	Crashes     []snipeford.UpstreamCrash `json:",omitempty"`
 }
 
 // NodeLost reports that another node is gone or has been disconnected for too
@@ -63,6 +79,7 @@
 func (PlacedByOtherNode) event()  {}
 func (FirstEventReceived) event() {}
 func (RequestEnded) event()       {}
+func (UpstreamCrashed) event()    {}
 func (NodeSynced) event()         {}
 func (NodeLost) event()           {}
 func (DirectoryChanged) event()   {}
@@ -80,25 +97,40 @@
 	// Node seeds the order of engines, so that nodes that place requests without
 	// a reachable home of the service prefer different engines.
 	Node     snipeford.NodeID
-	services map[snipeford.ServiceName]*placement.State
+	services map[snipeford.ServiceName]*service
 	replies  []PlacementReply
+	changes  []snipeford.Quarantine
+	// reports are the crashes that this node has reported.
+	reports []report
+}
+
+// service is the state of one service with model engines.
+type service struct {
+	*placement.State
+	quarantine quarantine.State
 }
 
 // Apply applies one event and returns the replies to send. The returned slice
 // is valid until the next call.
 func (s *State) Apply(now snipeford.Instant, e Event) []PlacementReply {
-	s.replies = s.replies[:0]
+	s.replies, s.changes = s.replies[:0], s.changes[:0]
 	switch e := e.(type) {
 	case PlacementRequested:
 		s.requestPlacement(now, e.Request)
 	case PlacedByOtherNode:
-		s.placementState(e.Call.Request.Service).AddPlaced(now, e.Call)
+		s.addPlaced(now, e.Call)
 	case FirstEventReceived:
-		s.placementState(e.Service).First(now, e.RequestID, e.Load)
+		s.service(e.Service).First(now, e.RequestID, e.Load)
 	case RequestEnded:
-		s.placementState(e.Service).End(now, e.RequestID, e.Failed, e.FaultUpstream)
+		s.endRequest(now, e)
+	case UpstreamCrashed:
+		s.reportCrash(now, e)
 	case NodeSynced:
 		s.replacePlacedCalls(now, e)
+		s.mergeQuarantines(now, e.Known.Quarantines)
+		for _, c := range e.Known.Crashes {
+			s.recordCrash(now, c)
+		}
 	case NodeLost:
 		s.forgetPlacedCalls(now, e.Node)
 		for _, service := range s.services {
@@ -106,13 +138,21 @@
 		}
 	case DirectoryChanged:
 		s.updateDirectory(e.View)
+		s.mergeQuarantines(now, e.View.Quarantines)
 	case Ticked:
 		for _, service := range s.services {
 			service.RemoveStale(now)
+			service.quarantine.Tick(now)
 		}
 	}
 	for _, service := range s.services {
 		s.addReplies(service.Next(now))
+		s.applyQuarantines(service)
+	}
+	for _, reply := range s.replies {
+		if reply.Placement.Refused {
+			s.endSuspect(reply.Placement.RequestID)
+		}
 	}
 	return s.replies
 }
@@ -120,7 +160,11 @@
 // requestPlacement places a request or, if it has to wait, replies that it is
 // queued.
 func (s *State) requestPlacement(now snipeford.Instant, request snipeford.PlacementRequest) {
-	placed := s.placementState(request.Service).Ask(now, request)
+	if refusal := s.admit(now, request); refusal.Cause != "" {
+		s.replies = append(s.replies, PlacementReply{request.EntryNode, refusedPlacement(request, refusal)})
+		return
+	}
+	placed := s.service(request.Service).Ask(now, request)
 	s.addReplies(placed)
 	if !slices.ContainsFunc(placed, func(p snipeford.Placement) bool { return p.RequestID == request.RequestID }) {
 		s.replies = append(s.replies, PlacementReply{request.EntryNode, snipeford.Placement{RequestID: request.RequestID, Queued: true}})
@@ -133,13 +177,13 @@
 	}
 }
 
-func (s *State) placementState(name snipeford.ServiceName) *placement.State {
+func (s *State) service(name snipeford.ServiceName) *service {
 	if s.services == nil {
-		s.services = map[snipeford.ServiceName]*placement.State{}
+		s.services = map[snipeford.ServiceName]*service{}
 	}
 	p, ok := s.services[name]
 	if !ok {
-		p = placement.New()
+		p = &service{placement.New(), quarantine.State{Service: name}}
 		s.services[name] = p
 	}
 	return p
@@ -147,8 +191,8 @@
 
 func (s *State) replacePlacedCalls(now snipeford.Instant, e NodeSynced) {
 	s.forgetPlacedCalls(now, e.Node)
-	for _, call := range e.Calls {
-		s.placementState(call.Request.Service).AddPlaced(now, call)
+	for _, call := range e.Known.Calls {
+		s.service(call.Request.Service).AddPlaced(now, call)
 	}
 }
 
@@ -167,7 +211,7 @@
 		if profile.Engine == nil {
 			continue
 		}
-		service := s.placementState(name)
+		service := s.service(name)
 		service.Configure(*profile.Engine, profile.ColdRequestsPerSecond)
 		service.SetCandidates(s.candidates(list))
 	}
@@ -188,13 +232,13 @@
 	return out
 }
 
-// PlacedCalls returns the running requests of an entry node.
-func (s *State) PlacedCalls(now snipeford.Instant, node snipeford.NodeID) []snipeford.PlacedCall {
-	var out []snipeford.PlacedCall
+// Known returns what this node reports to a new home.
+func (s *State) Known(now snipeford.Instant) Known {
+	known := Known{Quarantines: s.Quarantines(), Crashes: s.repeatedReports(now)}
 	for _, service := range s.services {
-		out = slices.Concat(out, service.Placed(now, node))
+		known.Calls = slices.Concat(known.Calls, service.Placed(now, s.Node))
 	}
-	return out
+	return known
 }
 
 // tickInterval is the time between two Ticked events. Queued requests are
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"snipeford"
+	"snipeford/internal/control/placer"
 	"snipeford/internal/control/timer"
 )
 
@@ -31,9 +32,12 @@
 	PlacedLocally      *snipeford.PlacedCall `json:"Adopt,omitempty"`
 	FirstEventReceived *Progress             `json:"Began,omitempty"`
 	RequestEnded       *Progress             `json:"Ended,omitempty"`
-	Sync               *Sync                 `json:",omitempty"`
-	Ping               *Ping                 `json:",omitempty"`
-	Pong               *Pong                 `json:",omitempty"`
+	// UpstreamCrashed reports a request whose engine ended while it ran.
+	UpstreamCrashed *snipeford.UpstreamCrash `json:"Crashed,omitempty"`
+	// Sync is what the sender knows that the home of its services has to know.
+	Sync *placer.Known `json:",omitempty"`
+	Ping *Ping         `json:",omitempty"`
+	Pong *Pong         `json:",omitempty"`
 	// Subscribe requests the rows that the peer has, and all later changes.
 	Subscribe *Subscribe `json:",omitempty"`
 	Rows      *Rows      `json:",omitempty"`
@@ -60,10 +64,13 @@
 	Failed        bool                 `json:",omitempty"`
 	FaultUpstream snipeford.UpstreamID `json:"Fault,omitempty"`
 	Load          snipeford.EngineLoad `json:",omitzero"`
+	// Completed is set if the response is complete.
+	Completed bool `json:",omitempty"`
 }
 
-// Sync lists all running requests of the sender.
-type Sync struct{ Calls []snipeford.PlacedCall }
+func (p *Progress) end() snipeford.RequestEnd {
+	return snipeford.RequestEnd{Failed: p.Failed, FaultUpstream: p.FaultUpstream, Completed: p.Completed}
+}
 
 // Ping requests a Pong with the same number.
 type Ping struct{ Number uint64 }
--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -185,8 +185,8 @@
 			}
 		}
 		last := rankedNodes()[2]
-		nodes[last].client.ReportEnd("s", "from-"+snipeford.RequestID(last), false, "")
-		if got := len(nodes[last].loop.PlacedCalls()); got != 0 {
+		nodes[last].client.ReportEnd("s", "from-"+snipeford.RequestID(last), snipeford.RequestEnd{})
+		if got := len(nodes[last].loop.Known().Calls); got != 0 {
 			t.Errorf("got %d running requests after the end, want none", got)
 		}
 	})
@@ -202,7 +202,7 @@
 		for i := 0; ; i++ {
 			id := fmt.Sprint("from-", name, "-", i)
 			p, decidedBy := n.client.Place(context.Background(), placementRequest(id))
-			n.client.ReportEnd("s", snipeford.RequestID(id), false, "")
+			n.client.ReportEnd("s", snipeford.RequestID(id), snipeford.RequestEnd{})
 			if !p.Refused && decidedBy == want {
 				break
 			}
@@ -258,6 +258,34 @@
 	})
 }
 
+// TestQuarantineReachesNextHome checks that crashes that several nodes report to the
+// home add up to a quarantine, and that the next home knows it although the first one
+// could not write it to the store.
+func TestQuarantineReachesNextHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := cluster{nodes: defaultNodes}.start(t)
+		parts := []snipeford.PrefixPart{"bad"}
+		for i, name := range rankedNodes() {
+			nodes[name].client.ReportCrash(snipeford.UpstreamCrash{Service: "s", Upstream: snipeford.UpstreamID(fmt.Sprint("e", i)), PrefixParts: parts, Age: 100 * time.Millisecond})
+			time.Sleep(500 * time.Millisecond)
+		}
+		assertRefused := func(names ...snipeford.NodeID) {
+			t.Helper()
+			for _, name := range names {
+				request := placementRequest(fmt.Sprint("bad-", name))
+				request.PrefixParts = parts
+				if p, by := nodes[name].client.Place(context.Background(), request); p.Cause != snipeford.CauseQuarantined {
+					t.Errorf("%s: got placement %+v by %s, want a refusal for the quarantine", name, p, by)
+				}
+			}
+		}
+		assertRefused(rankedNodes()...)
+		nodes[rankedNodes()[0]].stop()
+		time.Sleep(700 * time.Millisecond)
+		assertRefused(rankedNodes()[1:]...)
+	})
+}
+
 // TestStandbyReplacesStaleHome guards against a home that is cut off from the
 // store and therefore places requests on upstreams that have left.
 func TestStandbyReplacesStaleHome(t *testing.T) {
@@ -309,7 +337,7 @@
 		nodes := cluster{nodes: defaultNodes}.start(t)
 		first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
 		fillSlots(t, first)
-		time.AfterFunc(200*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
+		time.AfterFunc(200*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", snipeford.RequestEnd{}) })
 		assertPlacedByHome(t, last, 150*time.Millisecond)
 	})
 }
@@ -356,7 +384,7 @@
 		first, last := nodes[rankedNodes()[0]], nodes[rankedNodes()[2]]
 		fillSlots(t, first)
 		time.AfterFunc(100*time.Millisecond, network.ResetAll)
-		time.AfterFunc(300*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", false, "") })
+		time.AfterFunc(300*time.Millisecond, func() { first.client.ReportEnd("s", "busy00", snipeford.RequestEnd{}) })
 		assertPlacedByHome(t, last, 250*time.Millisecond)
 	})
 }
@@ -433,7 +461,7 @@
 				if p, decidedBy := nodes[name].client.Place(context.Background(), placementRequest(string(id))); p.Refused || decidedBy != rankedNodes()[0] {
 					b.Fatalf("got placement %+v by %s, want one by the home", p, decidedBy)
 				}
-				nodes[name].client.ReportEnd("s", id, false, "")
+				nodes[name].client.ReportEnd("s", id, snipeford.RequestEnd{})
 			}
 		})
 	}
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -110,7 +110,7 @@
 	if err := fc.send(Frame{Hello: &Hello{l.client.Self.Node, l.client.Self.Incarnation}}); err != nil {
 		return false, err
 	}
-	if err := fc.send(Frame{Sync: &Sync{l.client.Loop.PlacedCalls()}}); err != nil {
+	if err := fc.send(Frame{Sync: l.client.knownToHome()}); err != nil {
 		return false, err
 	}
 	l.setConn(fc)
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -195,7 +195,7 @@
 		c.Log.Info("home changed", "Service", service, "From", c.homes[service], "To", node)
 		c.homes[service] = node
 		if chosen != nil {
-			go func() { chosen.notify(Frame{Sync: &Sync{c.Loop.PlacedCalls()}}) }()
+			go func() { chosen.notify(Frame{Sync: c.knownToHome()}) }()
 		}
 	}
 	return chosen
@@ -261,6 +261,7 @@
 	}
 	c.Log.Decided("home did not answer", req.RequestID, "Home", homeLink.node, "WaitedMs", waited.Milliseconds())
 	req = after(req, waited)
+	req.Substitute = true
 	p = c.Loop.Place(ctx, req)
 	if !p.Refused {
 		homeLink.notify(Frame{PlacedLocally: &snipeford.PlacedCall{Request: req, Placement: p}})
@@ -347,9 +348,25 @@
 }
 
 // ReportEnd reports the end of a request to the local placer and to the home.
-func (c *Client) ReportEnd(service snipeford.ServiceName, id snipeford.RequestID, failed bool, faultUpstream snipeford.UpstreamID) {
-	c.Loop.Send(placer.RequestEnded{Service: service, RequestID: id, Failed: failed, FaultUpstream: faultUpstream})
+func (c *Client) ReportEnd(service snipeford.ServiceName, id snipeford.RequestID, end snipeford.RequestEnd) {
+	c.Loop.Send(placer.RequestEnded{Service: service, RequestID: id, End: end})
 	if homeLink := c.selectHome(service); homeLink != nil {
-		homeLink.notify(Frame{RequestEnded: &Progress{Service: service, RequestID: id, Failed: failed, FaultUpstream: faultUpstream}})
+		homeLink.notify(Frame{RequestEnded: &Progress{Service: service, RequestID: id, Failed: end.Failed, FaultUpstream: end.FaultUpstream, Completed: end.Completed}})
 	}
 }
+
+// ReportCrash reports a request whose engine ended while it ran to the local placer
+// and to the home.
+func (c *Client) ReportCrash(crash snipeford.UpstreamCrash) {
+	homeLink := c.selectHome(crash.Service)
+	c.Loop.Send(placer.UpstreamCrashed{Crash: crash, Own: true, AtHome: homeLink == nil})
+	if homeLink != nil {
+		homeLink.notify(Frame{UpstreamCrashed: &crash})
+	}
+}
+
+// knownToHome returns what a new home has to know.
+func (c *Client) knownToHome() *placer.Known {
+	known := c.Loop.Known()
+	return &known
+}
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -145,9 +145,11 @@
 		case m.FirstEventReceived != nil:
 			s.Loop.Send(placer.FirstEventReceived{Service: m.FirstEventReceived.Service, RequestID: m.FirstEventReceived.RequestID, Load: m.FirstEventReceived.Load})
 		case m.RequestEnded != nil:
-			s.Loop.Send(placer.RequestEnded{Service: m.RequestEnded.Service, RequestID: m.RequestEnded.RequestID, Failed: m.RequestEnded.Failed, FaultUpstream: m.RequestEnded.FaultUpstream})
+			s.Loop.Send(placer.RequestEnded{Service: m.RequestEnded.Service, RequestID: m.RequestEnded.RequestID, End: m.RequestEnded.end()})
+		case m.UpstreamCrashed != nil:
+			s.Loop.Send(placer.UpstreamCrashed{Crash: *m.UpstreamCrashed, AtHome: true})
 		case m.Sync != nil:
-			s.Loop.Send(placer.NodeSynced{Node: node, Calls: m.Sync.Calls})
+			s.Loop.Send(placer.NodeSynced{Node: node, Known: *m.Sync})
 		case m.Subscribe != nil:
 			f.start(*m.Subscribe, s.Subscribe)
 		case m.Ping != nil:
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -91,6 +91,7 @@
 	timer      *timer.Clock
 	log        *decision.Log
 	registry   metrics.Registry
+	counts     *metric.Edge
 	tracker    freshness.Tracker
 	follower   *follower
 	balancer   *balancer
@@ -101,6 +102,8 @@
 	pool       *connection.Pool
 	self       directory.Peer
 	platform   Platform
+	// quarantines holds the latest decisions on prefix parts that are not stored yet.
+	quarantines chan []snipeford.Quarantine
 	// callers serves the callers on callerListener, with the connections callerConns.
 	callers        *http.Server
 	callerListener net.Listener
@@ -112,18 +115,18 @@
 func New(s settings.Edge, t *timer.Clock, registry metrics.Registry, spans *span.Provider, platform Platform) *Node {
 	// The level is valid: it was checked when the settings were parsed.
 	level, _ := log.ParseLevel(s.LogLevel)
-	n := &Node{settings: s, timer: t, registry: registry, platform: platform, log: decision.New(s.Node, level, t)}
+	n := &Node{settings: s, timer: t, registry: registry, platform: platform, log: decision.New(s.Node, level, t), quarantines: make(chan []snipeford.Quarantine, 1)}
 	n.self = directory.Peer{
 		Node: s.Node, Incarnation: snipeford.Incarnation(t.Wall().Format(time.RFC3339Nano)),
 		Domain: s.FailureDomain, Address: s.PeerAddress, ProcessorShare: s.ProcessorShare,
 	}
-	counts := metric.NewEdge(registry)
+	n.counts = metric.NewEdge(registry)
 	n.balancer = &balancer{timer: t, domain: s.FailureDomain, settings: s}
-	n.pool = &connection.Pool{Timer: t, OnOpen: func(string) { counts.ConnectionOpened() }}
+	n.pool = &connection.Pool{Timer: t, OnOpen: func(string) { n.counts.ConnectionOpened() }}
 	n.loop = placer.New(s.Node, t)
 	n.peerClient = &grant.Client{Self: n.self, Loop: n.loop, Timer: t, Log: n.log, Staleness: n.staleness}
 	n.peerServer = &grant.Server{Loop: n.loop, Timer: t, Log: n.log, RoutingStatus: n.routingStatus}
-	n.loop.Deliver = n.peerServer.Deliver
+	n.loop.Deliver, n.loop.Decided = n.peerServer.Deliver, n.decided
 	n.follower = &follower{store: platform.Feed, decoder: platform.RowDecoder, timer: t, tracker: &n.tracker, log: n.log, onChange: n.applyView}
 	n.follower.hasFreshRows = n.peerClient.HasFreshFeed
 	n.follower.feederHealthy = n.peerClient.FeederHealthy
@@ -132,7 +135,7 @@
 	n.relay = &relay.Server{
 		Node: s.Node, Domain: s.FailureDomain, View: n.follower.current, Freshness: &n.tracker, Timer: t,
 		Pool: n.pool, Codec: platform.HeaderCodec, Placer: n.peerClient, Balancer: n.balancer, Reservations: platform.Reservations,
-		Metrics: counts, Log: n.log, Tracer: spans.Tracer(),
+		Metrics: n.counts, Log: n.log, Tracer: spans.Tracer(),
 		MaxKeyAge:      time.Duration(maxKeyAgeFraction * float64(s.RevocationBound)),
 		MaxNegativeAge: time.Duration(maxNegativeAgeFraction * float64(s.ConfigurationBound)),
 	}
@@ -186,6 +189,7 @@
 	group.Go(func() error { return n.follower.follow(ctx, snipeford.MemberRows, memberWatchTimeout) })
 	group.Go(func() error { return n.follower.expire(ctx) })
 	group.Go(func() error { return n.register(ctx) })
+	group.Go(func() error { return n.storeQuarantines(ctx) })
 	group.Go(func() error { return n.sweepPool(ctx) })
 }
 
@@ -270,16 +274,8 @@
 	if err != nil {
 		return fmt.Errorf("encode member row: %w", trace.Wrap(err))
 	}
-	backoff := initialBackoff
-	for ctx.Err() == nil {
-		err := n.platform.Feed.Put(ctx, string(n.self.Node), value)
-		if err == nil {
-			n.log.Info("node registered", "Address", n.self.Address)
-			return nil
-		}
-		n.log.Warn("cannot register node", err)
-		n.timer.Sleep(ctx, backoff)
-		backoff = min(2*backoff, maxBackoff)
+	if n.put(ctx, string(n.self.Node), value, "cannot register node") {
+		n.log.Info("node registered", "Address", n.self.Address)
 	}
 	return nil
 }
--- a/internal/operate/metric/edge.go
+++ b/internal/operate/metric/edge.go
@@ -61,6 +61,15 @@
 // EngineEnded counts a request whose engine ended while it ran.
 func (e *Edge) EngineEnded() { e.count("Requests", "EngineEnded") }
 
+// QuarantineDecided counts a quarantine of a prefix part, or its release.
+func (e *Edge) QuarantineDecided(released bool) {
+	if released {
+		e.count("Quarantine", "Released")
+		return
+	}
+	e.count("Quarantine", "Decided")
+}
+
 // StoreCalled counts a call to the users' platform's store.
 func (e *Edge) StoreCalled(failed bool) {
 	if failed {
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -25,6 +25,8 @@
 	expectedFirstEventAt snipeford.Instant
 	// partPrefill is the prefill time of each part of the prompt.
 	partPrefill float64
+	// decodesSince is when the first event arrived, at the latest.
+	decodesSince snipeford.Instant
 	// missedTarget is set if the first event came after its target. The job is
 	// late then, and has no further cost unless its caller disconnects.
 	missedTarget bool
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -93,9 +93,21 @@
 	s.reducePrefill(now, j, p.Age)
 	if p.Streaming {
 		s.First(now, p.Request.RequestID, snipeford.EngineLoad{})
+		// The first event arrived at an unknown time since the start.
+		j.decodesSince = j.start
 	}
 }
 
+// Decoding returns a request whose response has begun, and when its first event
+// arrived.
+func (s *State) Decoding(id snipeford.RequestID) (snipeford.PlacementRequest, snipeford.Instant, bool) {
+	j, ok := s.jobs[id]
+	if !ok || j.stage != stageDecode {
+		return snipeford.PlacementRequest{}, 0, false
+	}
+	return j.req, j.decodesSince, true
+}
+
 // replace removes an earlier entry of a request, placed or queued. A second one would
 // stay on its engine for good.
 func (s *State) replace(now snipeford.Instant, id snipeford.RequestID) {
@@ -171,7 +183,7 @@
 		return
 	}
 	s.replica(j.placement.Upstream).recordLoad(now, load)
-	j.stage = stageDecode
+	j.stage, j.decodesSince = stageDecode, now
 	took := now.Sub(j.start)
 	j.missedTarget = took > j.req.FirstEventTarget
 	primary := s.replica(j.placement.Upstream)
@@ -262,3 +274,16 @@
 func (s *State) RemoveQueued(node snipeford.NodeID) {
 	s.queued = slices.DeleteFunc(s.queued, func(q *queued) bool { return q.req.EntryNode == node })
 }
+
+// TakeQueued removes the queued requests whose prompts have a part, and returns them.
+func (s *State) TakeQueued(part snipeford.PrefixPart) []snipeford.PlacementRequest {
+	var out []snipeford.PlacementRequest
+	s.queued = slices.DeleteFunc(s.queued, func(q *queued) bool {
+		if !slices.Contains(q.req.PrefixParts, part) {
+			return false
+		}
+		out = append(out, q.req)
+		return true
+	})
+	return out
+}
--- /dev/null
+++ b/internal/policy/quarantine/admission.go
@@ -0,0 +1,111 @@
+package quarantine
+
+import (
+	"slices"
+	"time"
+
+	"snipeford"
+)
+
+// Request is what State needs to know of a request.
+type Request struct {
+	ID    snipeford.RequestID
+	Parts []snipeford.PrefixPart
+	// Repeated is set if an engine has already failed the request.
+	Repeated bool
+	// MayBeTrial is set if the request may be sent to an engine to try a quarantined
+	// part. Only one node may make trials.
+	MayBeTrial bool
+}
+
+// Refusal says why a request is refused. Its zero value means that it is accepted.
+type Refusal struct {
+	Cause      snipeford.Cause
+	Part       snipeford.PrefixPart
+	RetryAfter time.Duration
+	// Quarantine is the decision on the part, or nil if the part is only suspect.
+	Quarantine *snipeford.Quarantine
+}
+
+// Admit accepts or refuses a request. The end of an accepted one must be reported
+// with Ended.
+func (s *State) Admit(now snipeford.Instant, r Request) Refusal {
+	if refusal, decided := s.admitQuarantined(now, r); decided {
+		return refusal
+	}
+	return s.admitSuspect(now, r)
+}
+
+// admitQuarantined refuses a request with a quarantined part, or accepts it as a
+// trial. It returns false if there is no such part.
+func (s *State) admitQuarantined(now snipeford.Instant, r Request) (Refusal, bool) {
+	var found []*record
+	for _, part := range r.Parts {
+		if s.quarantined(part) {
+			found = append(found, s.records[part])
+			s.records[part].namedAt = now
+		}
+	}
+	if len(found) == 0 {
+		return Refusal{}, false
+	}
+	first := found[0]
+	if len(found) == 1 && r.MayBeTrial && !r.Repeated && now >= first.trialAt() && !s.isRunning(now, []snipeford.PrefixPart{first.Part}) {
+		// The trial counts from its start: a node that ends meanwhile leaves no
+		// report, and the next one must not try again at once.
+		first.Trials++
+		s.decide(now, first, false)
+		s.start(now, r.ID, []snipeford.PrefixPart{first.Part})
+		return Refusal{}, true
+	}
+	return Refuse(first.Quarantine), true
+}
+
+// Refuse returns the refusal of a request with a quarantined part. It is the same for
+// all: of the callers who return at the next trial, one would be served at best.
+func Refuse(q snipeford.Quarantine) Refusal {
+	return Refusal{Cause: snipeford.CauseQuarantined, Part: q.Part, Quarantine: &q, RetryAfter: initialTrialInterval}
+}
+
+// admitSuspect accepts one request at a time for each suspect part, and no repeats.
+func (s *State) admitSuspect(now snipeford.Instant, r Request) Refusal {
+	var suspects []snipeford.PrefixPart
+	for _, part := range s.suspects {
+		if slices.Contains(r.Parts, part) {
+			suspects = append(suspects, part)
+		}
+	}
+	if len(suspects) == 0 {
+		return Refusal{}
+	}
+	mixed := len(suspects) > 1 && now.Sub(s.crashes[len(s.crashes)-1].at) < mixedSuspectPause
+	if r.Repeated || mixed || s.isRunning(now, suspects) {
+		return Refusal{Cause: snipeford.CauseSuspectPrompt, Part: suspects[0], RetryAfter: suspectRetryAfter}
+	}
+	s.start(now, r.ID, suspects)
+	return Refusal{}
+}
+
+func (s *State) start(now snipeford.Instant, id snipeford.RequestID, parts []snipeford.PrefixPart) {
+	if s.runs == nil {
+		s.runs = map[snipeford.RequestID]run{}
+	}
+	s.runs[id] = run{parts, now}
+}
+
+// isRunning reports whether a request with one of the parts is running. It forgets
+// requests whose end was never reported.
+func (s *State) isRunning(now snipeford.Instant, parts []snipeford.PrefixPart) bool {
+	found := false
+	for id, r := range s.runs {
+		if now.Sub(r.since) > maxRunTime {
+			delete(s.runs, id)
+			continue
+		}
+		found = found || slices.ContainsFunc(parts, func(p snipeford.PrefixPart) bool { return slices.Contains(r.parts, p) })
+	}
+	return found
+}
+
+// Ended records the end of a request.
+func (s *State) Ended(id snipeford.RequestID) { delete(s.runs, id) }
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -19,7 +19,7 @@
 	for {
 		e, err := events.Next()
 		if errors.Is(err, io.EOF) {
-			s.reportEnd(p, false, "")
+			s.reportStreamEnd(p, x, s.decodeTime(firstEventAt))
 			return s.complete(x)
 		}
 		if err != nil {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -30,9 +30,12 @@
 type testCodec struct{}
 
 func (testCodec) DecodeCall(h http.Header) snipeford.CallHeader {
-	return snipeford.CallHeader{RequestID: snipeford.RequestID(h.Get("Id")), APIKey: h.Get("Key"), Timeout: 8 * time.Second, LastEventID: h.Get("Last")}
+	return snipeford.CallHeader{RequestID: snipeford.RequestID(h.Get("Id")), APIKey: h.Get("Key"), Timeout: 8 * time.Second, LastEventID: h.Get("Last"), PrefixParts: testParts}
 }
 
+// testParts are the prefix parts of all requests.
+var testParts = []snipeford.PrefixPart{"first", "bad"}
+
 func (testCodec) EncodeAttempt(h http.Header, a snipeford.AttemptHeader) http.Header {
 	out := h.Clone()
 	out.Del("Key")
@@ -101,7 +104,9 @@
 // stubPlacer is a Placer that selects upstreams like stubBalancer.
 type stubPlacer struct{ *stubBalancer }
 
-func (stubPlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, bool, snipeford.UpstreamID) {}
+func (stubPlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, snipeford.RequestEnd) {}
+
+func (stubPlacer) ReportCrash(snipeford.UpstreamCrash) {}
 
 // fakeUpstreams are HTTP servers with a handler each. They record the requests
 // that they receive.
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -31,9 +31,10 @@
 	Place(ctx context.Context, request snipeford.PlacementRequest) (snipeford.Placement, snipeford.NodeID)
 	// ReportFirstEvent reports the first event of a response and the engine's load.
 	ReportFirstEvent(service snipeford.ServiceName, id snipeford.RequestID, load snipeford.EngineLoad)
-	// ReportEnd reports the end of an attempt. The fault is empty unless an upstream
-	// other than the placed one failed the request.
-	ReportEnd(service snipeford.ServiceName, id snipeford.RequestID, failed bool, fault snipeford.UpstreamID)
+	// ReportEnd reports the end of an attempt.
+	ReportEnd(service snipeford.ServiceName, id snipeford.RequestID, end snipeford.RequestEnd)
+	// ReportCrash reports an attempt whose engine ended while it ran.
+	ReportCrash(crash snipeford.UpstreamCrash)
 }
 
 // Balancer selects upstreams of services without engines and keeps a retry budget
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -32,6 +32,8 @@
 	timeToFirstEvent time.Duration
 	maxEventGap      time.Duration
 	lastEventAt      snipeford.Instant
+	// attemptStart is when the current attempt was placed.
+	attemptStart snipeford.Instant
 	// helperFailures counts the attempts that did not run because of a fault at a
 	// helper.
 	helperFailures int
@@ -102,6 +104,10 @@
 		TimeLeft: s.timeLeft(), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
 		PrefixParts: s.head.PrefixParts,
 	})
+	if p.Refused && p.Cause != "" {
+		s.Log.Decided("prompt refused", s.head.RequestID, "By", by, "Cause", p.Cause, "Part", p.Part)
+		return p, &refusal{status: http.StatusServiceUnavailable, cause: p.Cause, retryAfter: p.RetryAfter, reason: "requests with part " + string(p.Part) + " of the prompt crashed engines"}
+	}
 	if p.Refused {
 		s.Log.Decided("no place", s.head.RequestID, "By", by, "PromptTokens", s.head.Prompt)
 		return p, overloaded(max(p.RetryAfter, defaultRetryAfter))
@@ -143,6 +149,7 @@
 // returns true once the request has its final response.
 func (s *streamRequest) attempt(p snipeford.Placement) bool {
 	s.selectedUpstreams++
+	s.attemptStart = s.Timer.Now()
 	if s.possibleReceipts > 0 {
 		s.Metrics.Retried(s.route.Kind)
 	}
@@ -314,7 +321,7 @@
 		s.Balancer.Ended(p.Upstream, failed)
 		return
 	}
-	s.Placer.ReportEnd(s.service, p.RequestID, failed, fault)
+	s.Placer.ReportEnd(s.service, p.RequestID, snipeford.RequestEnd{Failed: failed, FaultUpstream: fault})
 }
 
 // finish ends a request whose stream is not complete.
--- a/outcome.go
+++ b/outcome.go
@@ -47,6 +47,10 @@
 	CauseOrderInProgress  Cause = "OrderInProgress"
 	CauseCancelled        Cause = "Cancelled"
 	CauseNotHome          Cause = "NotHome"
+	// CauseQuarantined means that a part of the prompt has crashed engines, and
+	// CauseSuspectPrompt that it may have.
+	CauseQuarantined   Cause = "Quarantined"
+	CauseSuspectPrompt Cause = "SuspectPrompt"
 )
 
 // Refusal is the error that a caller gets instead of a response.
--- a/placement.go
+++ b/placement.go
@@ -31,6 +31,9 @@
 	AvoidHelpers bool `json:"Alone"`
 	// PrefixParts lists the parts of the prompt that other requests may share.
 	PrefixParts []PrefixPart `json:"Parts,omitempty"`
+	// Substitute is set if the entry node places the request in place of a home that
+	// did not reply.
+	Substitute bool `json:",omitempty"`
 }
 
 // Placement is the reply to a PlacementRequest.
@@ -53,6 +56,11 @@
 	// which the caller should retry.
 	Refused    bool
 	RetryAfter time.Duration
+	// Cause is the reason for a refusal if it is not overload, and Part then the
+	// prefix part concerned. Quarantine is the decision on it, if there is one.
+	Cause      Cause       `json:",omitempty"`
+	Part       PrefixPart  `json:",omitempty"`
+	Quarantine *Quarantine `json:",omitempty"`
 }
 
 // PlacedCall is a placed request that has not ended. Entry nodes report theirs to
@@ -66,6 +74,29 @@
 	Streaming bool `json:"Writing"`
 }
 
+// RequestEnd says how a placed request ended.
+type RequestEnd struct {
+	Failed bool
+	// FaultUpstream names the upstream that made it fail, or is empty if that is the
+	// one on which it was placed.
+	FaultUpstream UpstreamID
+	// Completed is set if the response is complete.
+	Completed bool
+}
+
+// UpstreamCrash reports that an engine ended while a request ran on it.
+type UpstreamCrash struct {
+	Service     ServiceName
+	Upstream    UpstreamID
+	PrefixParts []PrefixPart
+	// Age is the time since the request was sent, and DecodeTime that since its first
+	// event, or zero if there was none.
+	Age        time.Duration
+	DecodeTime time.Duration
+	// Ago is the time since the engine ended, in a repeated report.
+	Ago time.Duration `json:",omitempty"`
+}
+
 // EngineLoad is the load that an engine reports with the first event of a
 // response. The values are valid only if Known is set.
 type EngineLoad struct {
