Clear a prefix part once a response to it lasts a second

Cause: a part was cleared of crashes only when a response was complete, which takes several seconds under load; by then the next engine had crashed.

The home now clears the parts of a response that has gone on for a second, as it already did for one that breaks after that time. A quarantine is released only by an entry node's report, since the home alone can't tell a response that lasts from one whose crash was not reported.

--- a/internal/control/placer/poison_test.go
+++ b/internal/control/placer/poison_test.go
@@ -115,6 +115,28 @@
 	}
 }
 
+// TestPoisonsBesideOutages checks that poisons are found while engines also end for
+// other reasons, two at a time.
+func TestPoisonsBesideOutages(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			a := poison{part: "bad1", from: 10 * time.Second, perSecond: 3, first: "first0"}
+			b := poison{part: "bad2", from: 11 * time.Second, perSecond: 4, first: "first1"}
+			f := newSimFleet(seed, a, b)
+			for outage := range 8 {
+				f.run(time.Duration(8+3*outage) * time.Second)
+				for i := range 2 {
+					f.crash(f.engineID((2*outage + i) % simEngines))
+				}
+			}
+			f.run(60 * time.Second)
+			f.checkPoison(t, a)
+			f.checkPoison(t, b)
+		})
+	}
+}
+
 // TestCrashOfManyEngines checks that engines that end together, as in an outage of a
 // failure domain, make no prompt suspect.
 func TestCrashOfManyEngines(t *testing.T) {
@@ -136,23 +158,25 @@
 	}
 }
 
-// TestQuarantineOutlivesHome checks that a part stays quarantined when the home of the
-// service ends, at any time, and other nodes become homes.
+// TestQuarantineOutlivesHome checks that the evidence and the quarantine are not lost
+// when the home of the service ends, at any time, and other nodes become homes.
 func TestQuarantineOutlivesHome(t *testing.T) {
-	for _, lost := range []time.Duration{10500, 11000, 12000, 14000, 20000} {
-		for seed := range uint64(4) {
-			t.Run(fmt.Sprintf("after %d ms, seed %d", lost, seed), func(t *testing.T) {
-				t.Parallel()
-				p := poison{part: "bad", from: 10 * time.Second, perSecond: 3}
-				f := newSimFleet(seed, p)
-				f.run(lost * time.Millisecond)
-				f.replaceHome()
-				f.run(30 * time.Second)
-				f.replaceHome()
-				f.run(60 * time.Second)
-				f.checkPoison(t, p)
-				f.checkQuarantined(t, "bad")
-			})
+	for _, perSecond := range []float64{3, 10} {
+		for _, lost := range []time.Duration{10500, 11000, 11500, 13000, 20000} {
+			for seed := range uint64(3) {
+				t.Run(fmt.Sprintf("%v a second, after %d ms, seed %d", perSecond, lost, seed), func(t *testing.T) {
+					t.Parallel()
+					p := poison{part: "bad", from: 10 * time.Second, perSecond: perSecond, first: "first0"}
+					f := newSimFleet(seed, p)
+					f.run(lost * time.Millisecond)
+					f.replaceHome()
+					f.run(30 * time.Second)
+					f.replaceHome()
+					f.run(60 * time.Second)
+					f.checkPoison(t, p)
+					f.checkQuarantined(t, "bad")
+				})
+			}
 		}
 	}
 }
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -142,6 +142,9 @@
 	case Ticked:
 		for _, service := range s.services {
 			service.RemoveStale(now)
+			service.TakeLasting(now, quarantine.SurvivalTime, func(r snipeford.PlacementRequest, began snipeford.Instant) {
+				service.quarantine.Decoding(r.PrefixParts, began)
+			})
 			service.quarantine.Tick(now)
 		}
 	}
--- a/internal/policy/placement/replica.go
+++ b/internal/policy/placement/replica.go
@@ -27,6 +27,8 @@
 	partPrefill float64
 	// decodesSince is when the first event arrived, at the latest.
 	decodesSince snipeford.Instant
+	// lasting is set once TakeLasting has returned the job.
+	lasting bool
 	// missedTarget is set if the first event came after its target. The job is
 	// late then, and has no further cost unless its caller disconnects.
 	missedTarget bool
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -238,6 +238,17 @@
 	}
 }
 
+// TakeLasting calls visit for the requests whose responses have gone on for a period,
+// once for each.
+func (s *State) TakeLasting(now snipeford.Instant, period time.Duration, visit func(req snipeford.PlacementRequest, decodesSince snipeford.Instant)) {
+	for _, j := range s.jobs {
+		if j.stage == stageDecode && !j.lasting && now.Sub(j.decodesSince) >= period {
+			j.lasting = true
+			visit(j.req, j.decodesSince)
+		}
+	}
+}
+
 // RemoveStale removes jobs older than staleJobAge.
 func (s *State) RemoveStale(now snipeford.Instant) {
 	for id, j := range s.jobs {
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -84,6 +84,9 @@
 	// namedAt when a request last had the part.
 	decidedAt snipeford.Instant
 	namedAt   snipeford.Instant
+	// evidenceAt is the time of the last crash that led to the quarantine, as far as
+	// this node knows. Only a response that began later refutes it.
+	evidenceAt snipeford.Instant
 }
 
 // run is a running request that counts as the one request of its suspect parts.
@@ -140,17 +143,13 @@
 	return c
 }
 
-// Survived records that an engine went on after it had begun a response at the given
-// instant: the parts of its prompt did not cause the crashes until then. It releases
-// those that are quarantined.
-func (s *State) Survived(now snipeford.Instant, parts []snipeford.PrefixPart, began snipeford.Instant) {
+// Decoding records that a response has gone on for SurvivalTime: the parts of its
+// prompt did not cause the crashes before it began.
+func (s *State) Decoding(parts []snipeford.PrefixPart, began snipeford.Instant) {
 	changed := false
 	for _, part := range parts {
 		s.history.record(part, began)
-		cleared, left := s.clearBefore(part, began)
-		changed = changed || cleared > 0
-		if r := s.records[part]; r != nil && !r.Released && left == 0 && (cleared > 0 || r.decidedAt < began) {
-			s.decide(now, r, true)
+		if s.clearBefore(part, began) {
 			changed = true
 		}
 	}
@@ -160,21 +159,40 @@
 	}
 }
 
-// clearBefore removes a part from the crashes before an instant. It returns from how
-// many, and how many crashes of the part are left.
-func (s *State) clearBefore(part snipeford.PrefixPart, before snipeford.Instant) (cleared, left int) {
-	for _, c := range s.crashes {
-		if _, ok := c.placedAt[part]; !ok {
-			continue
+// Survived records that a response that began at an instant is complete, or went on
+// for SurvivalTime, as its entry node reports. Like Decoding it clears the parts, and
+// it releases those that are quarantined.
+func (s *State) Survived(now snipeford.Instant, parts []snipeford.PrefixPart, began snipeford.Instant) {
+	s.Decoding(parts, began)
+	for _, part := range parts {
+		r := s.records[part]
+		if r != nil && !r.Released && began > max(r.evidenceAt, s.lastCrash(part)) {
+			s.decide(now, r, true)
 		}
-		if c.at >= before {
-			left++
-			continue
+	}
+}
+
+// lastCrash returns the time of the last crash that the part may have caused, or zero.
+func (s *State) lastCrash(part snipeford.PrefixPart) snipeford.Instant {
+	for _, c := range slices.Backward(s.crashes) {
+		if _, ok := c.placedAt[part]; ok {
+			return c.at
+		}
+	}
+	return 0
+}
+
+// clearBefore removes a part from the crashes before an instant, and reports whether
+// there were any.
+func (s *State) clearBefore(part snipeford.PrefixPart, before snipeford.Instant) bool {
+	cleared := false
+	for _, c := range s.crashes {
+		if _, ok := c.placedAt[part]; ok && c.at < before {
+			delete(c.placedAt, part)
+			cleared = true
 		}
-		delete(c.placedAt, part)
-		cleared++
 	}
-	return cleared, left
+	return cleared
 }
 
 // Tick forgets old crashes and quarantines the parts that explain the others, those
@@ -216,7 +234,7 @@
 	if r == nil {
 		r = s.addRecord(part)
 	}
-	r.Trials, r.Upstreams, r.namedAt = 0, nil, now
+	r.Trials, r.Upstreams, r.namedAt, r.evidenceAt = 0, nil, now, s.lastCrash(part)
 	for _, c := range s.crashes {
 		if _, ok := c.placedAt[part]; ok && len(r.Upstreams) < maxEvidence {
 			r.Upstreams = append(r.Upstreams, c.upstream)
@@ -277,7 +295,7 @@
 	if r == nil {
 		r = s.addRecord(q.Part)
 	}
-	r.Quarantine, r.decidedAt, r.namedAt = q, now, now
+	r.Quarantine, r.decidedAt, r.namedAt, r.evidenceAt = q, now, now, now
 	if q.Released {
 		s.clearBefore(q.Part, now)
 	}
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -92,6 +92,15 @@
 		}
 		assertQuarantined(t, s, "bad")
 	})
+	t.Run("not the parts of responses that are not complete yet", func(t *testing.T) {
+		s := &State{}
+		crashOneByOne(s, 2, "first", "bad")
+		s.Decoding(parts("first"), at(1100*time.Millisecond))
+		crashOneByOne(s, 3, "first", "bad")
+		assertQuarantined(t, s, "bad")
+		s.Decoding(parts("bad"), at(time.Hour))
+		assertQuarantined(t, s, "bad")
+	})
 	t.Run("of parts that always come together, the one without a response", func(t *testing.T) {
 		s := &State{}
 		s.Survived(at(-time.Second), parts("a"), at(-2*time.Second))
