Do not blame the parts beside several poisons

With two poisons at once, or with poisons beside outages, sound parts that many requests share were quarantined first, and hid the poisons: their crashes counted as explained.

Cause: a popular sound part is beside both poisons, so that it explains more crashes in a row than either, before a response to it lasts a second.

For 2.5 s after the start of a response that went on, two crashes do not count against its parts, and a part whose crashes another part explains, and further ones, is not chosen. A crash counts 0.3 s after its first report instead of 0.15 s, since reports over links with losses come late. A request that asks again after its connection was lost no longer counts as running beside itself.

The test of two parts that always come together is split: with a recent response to one of them three crashes decide, otherwise four as before.

--- a/internal/policy/quarantine/admission.go
+++ b/internal/policy/quarantine/admission.go
@@ -50,7 +50,7 @@
 		return Refusal{}, false
 	}
 	first := found[0]
-	if len(found) == 1 && r.MayBeTrial && !r.Repeated && now >= first.trialAt() && !s.isRunning(now, []snipeford.PrefixPart{first.Part}) {
+	if len(found) == 1 && r.MayBeTrial && !r.Repeated && now >= first.trialAt() && !s.isRunning(now, r.ID, []snipeford.PrefixPart{first.Part}) {
 		// The trial counts from its start: a node that ends meanwhile leaves no
 		// report, and the next one must not try again at once.
 		first.Trials++
@@ -79,7 +79,7 @@
 		return Refusal{}
 	}
 	mixed := len(suspects) > 1 && now.Sub(s.crashes[len(s.crashes)-1].at) < mixedSuspectPause
-	if r.Repeated || mixed || s.isRunning(now, suspects) {
+	if r.Repeated || mixed || s.isRunning(now, r.ID, suspects) {
 		return Refusal{Cause: snipeford.CauseSuspectPrompt, Part: suspects[0], RetryAfter: suspectRetryAfter}
 	}
 	s.start(now, r.ID, suspects)
@@ -93,13 +93,17 @@
 	s.runs[id] = run{parts, now}
 }
 
-// isRunning reports whether a request with one of the parts is running. It forgets
-// requests whose end was never reported.
-func (s *State) isRunning(now snipeford.Instant, parts []snipeford.PrefixPart) bool {
+// isRunning reports whether another request than id with one of the parts is running.
+// It forgets requests whose end was never reported.
+func (s *State) isRunning(now snipeford.Instant, id snipeford.RequestID, parts []snipeford.PrefixPart) bool {
 	found := false
-	for id, r := range s.runs {
+	for running, r := range s.runs {
 		if now.Sub(r.since) > maxRunTime {
-			delete(s.runs, id)
+			delete(s.runs, running)
+			continue
+		}
+		if running == id {
+			// The entry node asks again after its connection was lost.
 			continue
 		}
 		found = found || slices.ContainsFunc(parts, func(p snipeford.PrefixPart) bool { return slices.Contains(r.parts, p) })
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -32,15 +32,21 @@
 	suspectCrashes    = 2
 	convictingCrashes = 3
 	decidingCrashes   = 4
+	// provenCrashes is the number of successive crashes that do not count against a
+	// part for provenTime after the start of a response to it that went on. Parts of
+	// many sound requests are often beside several poisons.
+	provenCrashes = 2
+	provenTime    = 2500 * time.Millisecond
 	// settleTime is how long after the first report of a crash the others arrive. A
 	// crash counts against a part from then on.
-	settleTime = 150 * time.Millisecond
+	settleTime = 300 * time.Millisecond
 	// crashMergeTime is the time within which reports of an engine's end are those
 	// of one crash. An engine may start again under the same id.
 	crashMergeTime = 2 * time.Second
 	// crashMaxAge is how long a crash is kept as evidence.
 	crashMaxAge = 10 * time.Minute
-	// maxCrashes, maxPartsPerCrash and maxQuarantines bound the memory.
+	// maxCrashes, maxPartsPerCrash and maxQuarantines bound the memory. A candidate has
+	// a bit for each crash.
 	maxCrashes       = 64
 	maxPartsPerCrash = 512
 	maxQuarantines   = 64
@@ -104,7 +110,7 @@
 	history history
 	// suspects are the suspect parts, the most probable one first.
 	suspects []snipeford.PrefixPart
-	// unsettled is set if crashes are left that do not count yet.
+	// unsettled is set if crashes may come to count without a further event.
 	unsettled bool
 	changes   []snipeford.Quarantine
 }
@@ -206,27 +212,39 @@
 		return
 	}
 	settled := now.Add(-settleTime)
-	for len(s.crashes) > 0 {
-		part, ok := s.guilty(settled)
+	ranked := s.ranking(now, settled)
+	for {
+		part, ok := guilty(ranked)
 		if !ok {
 			break
 		}
 		s.quarantine(now, part)
+		ranked = s.ranking(now, settled)
 	}
-	s.unsettled = len(s.crashes) > 0 && s.crashes[len(s.crashes)-1].at > settled
+	waiting := slices.ContainsFunc(ranked, func(c candidate) bool { return c.successive >= convictingCrashes })
+	s.unsettled = waiting || len(s.crashes) > 0 && s.crashes[len(s.crashes)-1].at > settled
 }
 
-// guilty returns the part that is to be quarantined next.
-func (s *State) guilty(settled snipeford.Instant) (snipeford.PrefixPart, bool) {
-	ranked := s.ranking(settled)
-	if len(ranked) == 0 || ranked[0].successive < convictingCrashes {
-		return "", false
+// guilty returns the candidate that is to be quarantined next.
+func guilty(ranked []candidate) (snipeford.PrefixPart, bool) {
+	var first *candidate
+	for i, c := range ranked {
+		switch {
+		case first != nil && c.score < first.score:
+			return first.part, true
+		case c.score < convictingCrashes:
+			return "", false
+		case c.dominated(ranked):
+		case first != nil && first.score < decidingCrashes:
+			return "", false
+		case first == nil:
+			first = &ranked[i]
+		}
 	}
-	tied := len(ranked) > 1 && ranked[1].successive == ranked[0].successive
-	if tied && ranked[0].successive < decidingCrashes {
+	if first == nil {
 		return "", false
 	}
-	return ranked[0].part, true
+	return first.part, true
 }
 
 func (s *State) quarantine(now snipeford.Instant, part snipeford.PrefixPart) {
--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -102,13 +102,32 @@
 		assertQuarantined(t, s, "bad")
 	})
 	t.Run("of parts that always come together, the one without a response", func(t *testing.T) {
+		s := &State{}
+		s.Survived(at(0), parts("a"), at(-100*time.Millisecond))
+		crashOneByOne(s, 3, "a", "bad")
+		assertQuarantined(t, s, "bad")
+	})
+	t.Run("of parts that always come together, the one whose last response is longest ago", func(t *testing.T) {
 		s := &State{}
 		s.Survived(at(-time.Second), parts("a"), at(-2*time.Second))
+		s.Survived(at(-time.Second), parts("bad"), at(-3*time.Second))
 		crashOneByOne(s, 3, "a", "bad")
 		assertQuarantined(t, s)
 		crashOneByOne(s, 4, "a", "bad")
 		assertQuarantined(t, s, "bad")
 	})
+	t.Run("later if a response began lately", func(t *testing.T) {
+		s := &State{}
+		s.Survived(at(0), parts("bad"), at(-time.Second))
+		for i := range 3 {
+			now := at(time.Duration(i) * 300 * time.Millisecond)
+			s.Crashed(now, snipeford.UpstreamID(fmt.Sprint("e", i)), parts("bad"), now.Add(-200*time.Millisecond))
+		}
+		s.Tick(at(1400 * time.Millisecond))
+		assertQuarantined(t, s)
+		s.Tick(at(1600 * time.Millisecond))
+		assertQuarantined(t, s, "bad")
+	})
 	t.Run("not the parts of requests beside a quarantined one", func(t *testing.T) {
 		s := &State{}
 		crashOneByOne(s, 3, "bad")
@@ -123,6 +142,7 @@
 	now := at(2 * time.Second)
 	assertCause(t, s, now, Request{ID: "repeat", Parts: parts("bad"), Repeated: true}, snipeford.CauseSuspectPrompt)
 	assertCause(t, s, now, Request{ID: "first", Parts: parts("bad")}, "")
+	assertCause(t, s, now, Request{ID: "first", Parts: parts("bad")}, "")
 	assertCause(t, s, now, Request{ID: "second", Parts: parts("bad")}, snipeford.CauseSuspectPrompt)
 	assertCause(t, s, now, Request{ID: "other", Parts: parts("x")}, "")
 	s.Ended("first")
