--- a/internal/operate/edge/drain_test.go
+++ b/internal/operate/edge/drain_test.go
@@ -190,8 +190,8 @@
 }
 func (*queuePlacer) ReportFirstEvent(snipeford.ServiceName, snipeford.RequestID, snipeford.EngineLoad) {
 }
-func (*queuePlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, bool, snipeford.UpstreamID) {
-}
+func (*queuePlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, snipeford.RequestEnd) {}
+func (*queuePlacer) ReportCrash(snipeford.UpstreamCrash)                                        {}
 
 // stoppingNode is a node with the routes /stream/, /plain/ and /events/, which is a
 // stream too. The home of the service stream queues all requests. The other services
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"snipeford"
 	"snipeford/internal/request/event"
@@ -15,28 +16,29 @@
 // for each that has data. It returns false if the stream breaks before its end.
 func (s *streamRequest) relayEvents(p snipeford.Placement, x *connection.Exchange, onProgress func()) bool {
 	events := event.NewReader(x)
-	first := true
+	firstEventAt := snipeford.Instant(0)
 	for {
 		e, err := events.Next()
-		if errors.Is(err, io.EOF) && first && s.needsEvent(x) {
+		if errors.Is(err, io.EOF) && firstEventAt == 0 && s.needsEvent(x) {
 			err = errNoEvents
 		}
 		if errors.Is(err, io.EOF) {
-			s.reportEnd(p, false, "")
+			s.reportStreamEnd(p, x, s.decodeTime(firstEventAt))
 			return s.complete(x)
 		}
 		if err != nil {
 			s.reportEnd(p, s.ctx.Err() == nil, "")
 			s.exclude(p, "")
 			s.truncated = s.truncated || errors.Is(err, event.ErrTruncated)
-			s.Log.Decided("stream broke", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Events", s.eventCount, "LastEvent", s.lastEventID)
+			s.Log.Decided("stream broke", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Events", s.eventCount, "LastEvent", s.lastEventID, "PrefixParts", s.head.PrefixParts)
+			s.checkEnded(p, s.decodeTime(firstEventAt))
 			return false
 		}
 		if e.HasData {
 			onProgress()
 		}
-		if first && e.HasData {
-			first, s.truncated = false, false
+		if firstEventAt == 0 && e.HasData {
+			firstEventAt, s.truncated = s.Timer.Now(), false
 			s.Placer.ReportFirstEvent(s.service, p.RequestID, snipeford.EngineLoad{Known: x.Decoded.HasLoad, Running: x.Decoded.Running, Waiting: x.Decoded.Waiting})
 		}
 		if !s.writeEvent(x, e) {
@@ -58,6 +60,15 @@
 	return !x.SelfDelimited && (s.lastEventID == "" || s.truncated) && s.r.Method != http.MethodHead
 }
 
+// decodeTime returns the time since the first event of an attempt, or zero if there
+// was none.
+func (s *streamRequest) decodeTime(firstEventAt snipeford.Instant) time.Duration {
+	if firstEventAt == 0 {
+		return 0
+	}
+	return s.Timer.Now().Sub(firstEventAt)
+}
+
 // writeEvent passes on one event, unless the caller has received it already. It
 // returns false if the caller cannot be written to, or if the request ended before its
 // first event.
