Do not pass on an upstream's 408 or 429 that may have run

Callers of plain routes could get 408 or 429 for a request that an upstream may have run, and would have sent an order again: these statuses tell them that it has not run. docs/PROMISES.md says that they become 502 unless the upstream states that it did not run the request; only 503 did, and streams.

Cause: every status below 500 of a plain response was passed on. Change: one that implies not run is a failure of the upstream.

Measured: TestUnsafeRequestsRunOnce with 408, 421 and 429 failed before and passes now; 503 passed before too.

--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -129,7 +129,7 @@
 		c.Log.Decided("upstream did not run the request", c.head.RequestID, "Status", resp.status)
 		return false
 	}
-	good := resp.status < http.StatusInternalServerError
+	good := resp.status < http.StatusInternalServerError && !impliesNotRun(resp.status)
 	if good && (resp.head.Signed || resp.status >= http.StatusMultipleChoices) {
 		c.writeResponse(resp)
 		return true
--- a/internal/request/relay/plain_test.go
+++ b/internal/request/relay/plain_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"strings"
@@ -57,11 +58,13 @@
 		}
 		assertRequestCount(t, h, 1)
 	})
-	t.Run("a status that implies not run is not passed on without the header", func(t *testing.T) {
-		h := newHarness(t, respondStatus(503, "Seal: x\r\n"), respondOK("ok"))
-		assertResponse(t, h.call(t, http.MethodPost, "/unsafe/x"), 502, "")
-		assertRequestCount(t, h, 1)
-	})
+	for _, status := range []int{408, 421, 429, 503} {
+		t.Run(fmt.Sprintf("status %d, which implies not run, is not passed on without the header", status), func(t *testing.T) {
+			h := newHarness(t, respondStatus(status, "Seal: x\r\n"), respondOK("ok"))
+			assertResponse(t, h.call(t, http.MethodPost, "/unsafe/x"), 502, "")
+			assertRequestCount(t, h, 1)
+		})
+	}
 	t.Run("a request that did not run is retried", func(t *testing.T) {
 		h := newHarness(t, respondStatus(503, "Not-Run: 1\r\n"), respondOK("ok"))
 		assertResponse(t, h.call(t, http.MethodPost, "/unsafe/x"), 200, "ok")
