End a soak whose program cannot be started

A soak that was started in a directory without the program hung for half an hour and ignored its SIGTERM. Cause: the end of a run waited for the exit of processes that had never been started. Change: it waits for started ones only.

--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -191,7 +191,7 @@
 }
 
 // signal sends a signal to the node's process if it is running. The returned
-// channel is closed when the process has exited.
+// channel is closed when the process has exited. It is nil if none was ever started.
 func (n *node) signal(s syscall.Signal) <-chan struct{} {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -231,8 +231,9 @@
 		n.mu.Lock()
 		n.stopping = true
 		n.mu.Unlock()
-		exited := n.signal(syscall.SIGKILL)
-		<-exited
+		if exited := n.signal(syscall.SIGKILL); exited != nil {
+			<-exited
+		}
 		n.storeRelay.Close()
 		_ = n.log.Close()
 	}
