Log the request limits that upstreams state

Logs and metrics could not tell what an upstream had asked: the header was passed on unread. It is decoded into Directives, the place for what upstreams ask of the nodes, and a change of it is logged ('request limit of upstream changed') and counted.

--- /dev/null
+++ b/directives.go
@@ -0,0 +1,28 @@
+package snipeford
+
+import "time"
+
+// Directives holds what an upstream asks of the nodes in a response.
+type Directives struct {
+	RequestLimit RequestLimit `json:",omitzero"`
+}
+
+// RequestLimit limits the requests that an upstream takes from all nodes together. The
+// zero value means that the response states no limit.
+type RequestLimit struct {
+	Stated bool
+	// PerSecond is the limit in requests per second, zero or more.
+	PerSecond float64
+	// Unreadable is set, and Stated is not, if the response states a limit that can't
+	// be decoded. It neither changes nor ends an earlier one.
+	Unreadable bool `json:",omitempty"`
+}
+
+// DirectivesReport reports the directives of a response to the home of a service.
+type DirectivesReport struct {
+	Service    ServiceName
+	Upstream   UpstreamID
+	Directives Directives
+	// RequestAge is the time from the request to the response.
+	RequestAge time.Duration
+}
--- a/exchange.go
+++ b/exchange.go
@@ -70,6 +70,8 @@
 	// Closing reports whether the upstream closes the connection after the
 	// response.
 	Closing bool
+	// Directives holds what the upstream asks of the nodes.
+	Directives Directives
 }
 
 // HeaderCodec translates between HTTP headers and the types above.
--- a/internal/operate/edge/balancer.go
+++ b/internal/operate/edge/balancer.go
@@ -9,6 +9,7 @@
 	"snipeford/internal/control/timer"
 	"snipeford/internal/operate/settings"
 	"snipeford/internal/policy/balance"
+	"snipeford/internal/policy/ratelimit"
 	"snipeford/internal/policy/retry"
 )
 
@@ -21,6 +22,7 @@
 
 	mu           sync.Mutex
 	loads        balance.Balancer
+	limits       ratelimit.Limiter
 	retryBudgets map[snipeford.ServiceName]*retry.WindowBudget
 	nodeCount    int
 }
@@ -40,6 +42,7 @@
 		}
 	}
 	b.loads.Retain(known)
+	b.limits.Retain(b.timer.Now(), func(id snipeford.UpstreamID) bool { return known[id] })
 	b.nodeCount = max(len(v.Peers), minNodeCount)
 	for _, w := range b.retryBudgets {
 		w.SlackShare = 1 / float64(b.nodeCount)
@@ -76,6 +79,14 @@
 	b.loads.LoadReported(b.timer.Now(), id, busy)
 }
 
+// ReportDirectives records what an upstream asks in a response, and returns whether its
+// request limit has changed.
+func (b *balancer) ReportDirectives(id snipeford.UpstreamID, d snipeford.Directives, sentAt snipeford.Instant) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.limits.Report(b.timer.Now(), sentAt, id, d.RequestLimit)
+}
+
 // CountRequest adds a caller's request to the retry budget.
 func (b *balancer) CountRequest(name snipeford.ServiceName) {
 	b.mu.Lock()
--- a/internal/operate/edge/drain_test.go
+++ b/internal/operate/edge/drain_test.go
@@ -176,6 +176,9 @@
 func (*stubBalancer) ReportLoad(snipeford.UpstreamID, int)  {}
 func (*stubBalancer) CountRequest(snipeford.ServiceName)    {}
 func (*stubBalancer) AllowRetry(snipeford.ServiceName) bool { return false }
+func (*stubBalancer) ReportDirectives(snipeford.UpstreamID, snipeford.Directives, snipeford.Instant) bool {
+	return false
+}
 
 // queuePlacer is a Placer that queues each request until its context ends. It holds the
 // last request.
--- a/internal/operate/metric/edge.go
+++ b/internal/operate/metric/edge.go
@@ -61,6 +61,15 @@
 // EngineEnded counts a request whose engine ended while it ran.
 func (e *Edge) EngineEnded() { e.count("Requests", "EngineEnded") }
 
+// LimitChanged counts a change of the request limit that an upstream states.
+func (e *Edge) LimitChanged(stated bool) {
+	if stated {
+		e.count("Upstreams", "RequestLimit", "Stated")
+		return
+	}
+	e.count("Upstreams", "RequestLimit", "Ended")
+}
+
 // QuarantineDecided counts a quarantine of a prefix part, or its release.
 func (e *Edge) QuarantineDecided(released bool) {
 	if released {
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -69,6 +69,7 @@
 		c.Balancer.Ended(id, false)
 		return nil, fmt.Errorf("%w: %s", errUnknownUpstream, id)
 	}
+	sentAt := c.Timer.Now()
 	x, err := c.Pool.Do(traced, u.Address, c.upstreamRequest(snipeford.AttemptHeader{Upstream: id}), c.Codec)
 	if err != nil {
 		var f *connection.ExchangeError
@@ -82,6 +83,7 @@
 		return nil, err
 	}
 	defer x.Close()
+	c.reportDirectives(id, x, sentAt)
 	c.possibleReceipts++
 	resp, err := readPlainResponse(x)
 	if x.Decoded.HasLoad {
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -99,7 +99,11 @@
 func (b *stubBalancer) Refused(snipeford.RouteKind, snipeford.Cause)                {}
 func (b *stubBalancer) Aborted(snipeford.RouteKind)                                 {}
 func (b *stubBalancer) Retried(snipeford.RouteKind)                                 {}
-func (b *stubBalancer) EngineEnded()                                                {}
+func (b *stubBalancer) LimitChanged(bool)                                           {}
+func (b *stubBalancer) ReportDirectives(snipeford.UpstreamID, snipeford.Directives, snipeford.Instant) bool {
+	return false
+}
+func (b *stubBalancer) EngineEnded() {}
 
 // stubPlacer is a Placer that selects upstreams like stubBalancer.
 type stubPlacer struct{ *stubBalancer }
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -53,6 +53,9 @@
 	// AllowRetry takes one retry from the retry budget, and returns false if the
 	// budget is exhausted.
 	AllowRetry(service snipeford.ServiceName) bool
+	// ReportDirectives records what an upstream asks in a response, and returns whether
+	// its request limit has changed for this node. The request was sent at sentAt.
+	ReportDirectives(id snipeford.UpstreamID, d snipeford.Directives, sentAt snipeford.Instant) (changed bool)
 }
 
 // Metrics records the outcome of requests.
@@ -68,6 +71,9 @@
 	Retried(kind snipeford.RouteKind)
 	// EngineEnded records a request whose engine ended while it ran.
 	EngineEnded()
+	// LimitChanged records an upstream that states a request limit, another one than
+	// before, or none any more.
+	LimitChanged(stated bool)
 }
 
 // Server is the HTTP handler for callers' requests.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -180,6 +180,7 @@
 		return s.handleNoResponse(p, err)
 	}
 	defer x.Close()
+	s.reportDirectives(p.Upstream, x, s.attemptStart)
 	s.possibleReceipts++
 	switch {
 	case x.Decoded.NotRun:
