Keep upstreams within the request limits that they state

Callers saw nothing of it: a replica in need that had named a limit (Server-Limit) got its usual share of the requests, and had to bear it or fail them.

The class of fault is a missing feedback loop: overload that an upstream signals does not reach those that send.

Change: entry nodes report limits to the home of the service, which has a token bucket for each. Engines beyond their limit are not usable, and those with one take no part in requests that use several engines. Plain services get homes; an entry node that knows of a limit asks for a permit before it sends. A node that stands in for a home spares upstreams with a limit. Limits are repeated to new homes, and buckets start empty there. A limit ends with a response without it whose request was sent after the latest response with it. What can't be sent counts as lost capacity in the forecasts.

--- a/internal/control/placer/quarantine.go
+++ b/internal/control/placer/quarantine.go
@@ -35,14 +35,19 @@
 	}
 }
 
-// addPlaced adds the placement of another node, or adopts the quarantine for which
+// addPlaced adds the placement or the permit of another node, or adopts the quarantine for which
 // the home refused the request.
 func (s *State) addPlaced(now snipeford.Instant, call snipeford.PlacedCall) {
 	service := s.service(call.Request.Service)
 	if q := call.Placement.Quarantine; q != nil {
 		s.mergeQuarantines(now, []snipeford.Quarantine{*q})
 	}
-	service.AddPlaced(now, call)
+	if call.Request.Permit == "" {
+		service.AddPlaced(now, call)
+	}
+	if !call.Placement.Refused {
+		service.CountSent(now, call.Placement.Upstream)
+	}
 }
 
 func (s *State) endRequest(now snipeford.Instant, e RequestEnded) {
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -50,6 +50,9 @@
 	Own, AtHome bool
 }
 
+// DirectivesReceived reports what an upstream asks of the nodes in a response.
+type DirectivesReceived struct{ Report snipeford.DirectivesReport }
+
 // NodeSynced reports what another node knows. Its running requests replace those that
 // were reported before.
 type NodeSynced struct {
@@ -63,6 +66,7 @@
 	Calls       []snipeford.PlacedCall
 	Quarantines []snipeford.Quarantine    `json:",omitempty"`
 	Crashes     []snipeford.UpstreamCrash `json:",omitempty"`
+	Limits      []ServiceLimits           `json:",omitempty"`
 }
 
 // NodeLost reports that another node is gone or has been disconnected for too
@@ -80,6 +84,7 @@
 func (FirstEventReceived) event() {}
 func (RequestEnded) event()       {}
 func (UpstreamCrashed) event()    {}
+func (DirectivesReceived) event() {}
 func (NodeSynced) event()         {}
 func (NodeLost) event()           {}
 func (DirectoryChanged) event()   {}
@@ -131,6 +136,9 @@
 		for _, c := range e.Known.Crashes {
 			s.recordCrash(now, c)
 		}
+		s.mergeLimits(now, e.Known.Limits)
+	case DirectivesReceived:
+		s.recordDirectives(now, e.Report)
 	case NodeLost:
 		s.forgetPlacedCalls(now, e.Node)
 		for _, service := range s.services {
@@ -138,6 +146,7 @@
 		}
 	case DirectoryChanged:
 		s.updateDirectory(e.View)
+		s.retainLimits(now, e.View)
 		s.mergeQuarantines(now, e.View.Quarantines)
 	case Ticked:
 		for _, service := range s.services {
@@ -167,6 +176,10 @@
 		s.replies = append(s.replies, PlacementReply{request.EntryNode, refusedPlacement(request, refusal)})
 		return
 	}
+	if request.Permit != "" {
+		s.permit(now, request)
+		return
+	}
 	placed := s.service(request.Service).Ask(now, request)
 	s.addReplies(placed)
 	if !slices.ContainsFunc(placed, func(p snipeford.Placement) bool { return p.RequestID == request.RequestID }) {
@@ -237,7 +250,7 @@
 
 // Known returns what this node reports to a new home.
 func (s *State) Known(now snipeford.Instant) Known {
-	known := Known{Quarantines: s.Quarantines(), Crashes: s.repeatedReports(now)}
+	known := Known{Quarantines: s.Quarantines(), Crashes: s.repeatedReports(now), Limits: s.statedLimits(now)}
 	for _, service := range s.services {
 		known.Calls = slices.Concat(known.Calls, service.Placed(now, s.Node))
 	}
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -34,6 +34,8 @@
 	RequestEnded       *Progress             `json:"Ended,omitempty"`
 	// UpstreamCrashed reports a request whose engine ended while it ran.
 	UpstreamCrashed *snipeford.UpstreamCrash `json:"Crashed,omitempty"`
+	// Directives reports what an upstream asks of the nodes in a response.
+	Directives *snipeford.DirectivesReport `json:",omitempty"`
 	// Sync is what the sender knows that the home of its services has to know.
 	Sync *placer.Known `json:",omitempty"`
 	Ping *Ping         `json:",omitempty"`
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -128,7 +128,7 @@
 }
 
 // SetView updates the links to match the directory's view of the nodes and of the
-// services with model engines.
+// services.
 func (c *Client) SetView(v *directory.View) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -147,10 +147,7 @@
 		wanted[id] = id != c.Self.Node
 	}
 	for service := range v.Usable {
-		if v.Plan.Service(service).Engine == nil {
-			continue
-		}
-		order := home.Rank(service, members)
+		order := home.Rank(homeKey(v, service), members)
 		c.nodeOrders[service] = order
 		for _, id := range order[:min(len(order), linksPerService)] {
 			wanted[id] = id != c.Self.Node
@@ -159,6 +156,22 @@
 	c.updateLinks(v, wanted)
 }
 
+// homeKey returns the service whose homes a service has: those of the first service with
+// engines serve all services without engines, so that few links are needed.
+func homeKey(v *directory.View, service snipeford.ServiceName) snipeford.ServiceName {
+	if v.Plan.Service(service).Engine != nil {
+		return service
+	}
+	key := service
+	for name := range v.Usable {
+		hasEngine := v.Plan.Service(name).Engine != nil
+		if hasEngine && (key == service || name < key) {
+			key = name
+		}
+	}
+	return key
+}
+
 func (c *Client) updateLinks(v *directory.View, wanted map[snipeford.NodeID]bool) {
 	if c.links == nil {
 		c.links = map[snipeford.NodeID]*link{}
@@ -365,6 +378,15 @@
 	}
 }
 
+// ReportDirectives reports what an upstream asks in a response to the local placer and
+// to the home.
+func (c *Client) ReportDirectives(report snipeford.DirectivesReport) {
+	c.Loop.Send(placer.DirectivesReceived{Report: report})
+	if homeLink := c.selectHome(report.Service); homeLink != nil {
+		homeLink.notify(Frame{Directives: &report})
+	}
+}
+
 // knownToHome returns what a new home has to know.
 func (c *Client) knownToHome() *placer.Known {
 	known := c.Loop.Known()
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -148,6 +148,8 @@
 			s.Loop.Send(placer.RequestEnded{Service: m.RequestEnded.Service, RequestID: m.RequestEnded.RequestID, End: m.RequestEnded.end()})
 		case m.UpstreamCrashed != nil:
 			s.Loop.Send(placer.UpstreamCrashed{Crash: *m.UpstreamCrashed, AtHome: true})
+		case m.Directives != nil:
+			s.Loop.Send(placer.DirectivesReceived{Report: *m.Directives})
 		case m.Sync != nil:
 			s.Loop.Send(placer.NodeSynced{Node: node, Known: *m.Sync})
 		case m.Subscribe != nil:
--- a/internal/operate/edge/balancer.go
+++ b/internal/operate/edge/balancer.go
@@ -1,8 +1,10 @@
 package edge
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
+	"time"
 
 	"snipeford"
 	"snipeford/internal/control/directory"
@@ -23,6 +25,7 @@
 	mu           sync.Mutex
 	loads        balance.Balancer
 	limits       ratelimit.Limiter
+	heldBack     map[snipeford.UpstreamID]snipeford.Instant
 	retryBudgets map[snipeford.ServiceName]*retry.WindowBudget
 	nodeCount    int
 }
@@ -43,6 +46,7 @@
 	}
 	b.loads.Retain(known)
 	b.limits.Retain(b.timer.Now(), func(id snipeford.UpstreamID) bool { return known[id] })
+	maps.DeleteFunc(b.heldBack, func(id snipeford.UpstreamID, _ snipeford.Instant) bool { return !known[id] })
 	b.nodeCount = max(len(v.Peers), minNodeCount)
 	for _, w := range b.retryBudgets {
 		w.SlackShare = 1 / float64(b.nodeCount)
@@ -51,13 +55,15 @@
 
 // Pick selects an upstream and counts a request as in flight there.
 func (b *balancer) Pick(v *directory.View, name snipeford.ServiceName, excluded []snipeford.UpstreamID) (snipeford.UpstreamID, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	now := b.timer.Now()
 	list := make([]balance.Candidate, 0, len(v.Usable[name]))
 	for _, u := range v.Usable[name] {
-		list = append(list, balance.Candidate{ID: u.ID, Domain: u.Domain, Slots: u.Slots, Cold: u.ColdUntil > now})
+		if b.heldBack[u.ID] <= now {
+			list = append(list, balance.Candidate{ID: u.ID, Domain: u.Domain, Slots: u.Slots, Cold: u.ColdUntil > now})
+		}
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
 	id, ok := b.loads.Pick(now, list, excluded, b.domain, rand.Uint64())
 	if ok {
 		b.loads.RequestSent(id)
@@ -87,6 +93,39 @@
 	return b.limits.Report(b.timer.Now(), sentAt, id, d.RequestLimit)
 }
 
+// Limited reports whether the upstream limits its requests, as far as this node knows.
+func (b *balancer) Limited(id snipeford.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, limited := b.limits.Limit(id)
+	return limited
+}
+
+// HoldBack undoes a Pick of an upstream that may get no request for a while.
+func (b *balancer) HoldBack(id snipeford.UpstreamID, d time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.heldBack == nil {
+		b.heldBack = map[snipeford.UpstreamID]snipeford.Instant{}
+	}
+	b.heldBack[id] = b.timer.Now().Add(d)
+	b.loads.RequestWithdrawn(id)
+}
+
+// HeldBack returns how long it takes until the first of the upstreams that are held back
+// may be picked again, or zero if none is.
+func (b *balancer) HeldBack(v *directory.View, name snipeford.ServiceName) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, shortest := b.timer.Now(), time.Duration(0)
+	for _, u := range v.Usable[name] {
+		if left := b.heldBack[u.ID].Sub(now); left > 0 && (shortest == 0 || left < shortest) {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // CountRequest adds a caller's request to the retry budget.
 func (b *balancer) CountRequest(name snipeford.ServiceName) {
 	b.mu.Lock()
--- a/internal/operate/edge/drain_test.go
+++ b/internal/operate/edge/drain_test.go
@@ -180,6 +180,10 @@
 	return false
 }
 
+func (*stubBalancer) Limited(snipeford.UpstreamID) bool                             { return false }
+func (*stubBalancer) HoldBack(snipeford.UpstreamID, time.Duration)                  {}
+func (*stubBalancer) HeldBack(*directory.View, snipeford.ServiceName) time.Duration { return 0 }
+
 // queuePlacer is a Placer that queues each request until its context ends. It holds the
 // last request.
 type queuePlacer struct {
@@ -195,6 +199,7 @@
 }
 func (*queuePlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, snipeford.RequestEnd) {}
 func (*queuePlacer) ReportCrash(snipeford.UpstreamCrash)                                        {}
+func (*queuePlacer) ReportDirectives(snipeford.DirectivesReport)                                {}
 
 // stoppingNode is a node with the routes /stream/, /plain/ and /events/, which is a
 // stream too. The home of the service stream queues all requests. The other services
--- a/internal/policy/balance/balance.go
+++ b/internal/policy/balance/balance.go
@@ -116,6 +116,12 @@
 	l.failures++
 }
 
+// RequestWithdrawn undoes RequestSent for a request that was not sent.
+func (b *Balancer) RequestWithdrawn(id snipeford.UpstreamID) {
+	l := b.loadOf(id)
+	l.inFlight = max(l.inFlight-1, 0)
+}
+
 // LoadReported records the number of busy slots that the upstream reports.
 func (b *Balancer) LoadReported(now snipeford.Instant, id snipeford.UpstreamID, busy int) {
 	l := b.loadOf(id)
--- a/internal/policy/placement/choose.go
+++ b/internal/policy/placement/choose.go
@@ -108,18 +108,23 @@
 // and the predicted time of its first event, from now.
 func (s *State) bestPlacement(now snipeford.Instant, req snipeford.PlacementRequest, engines []*replica) (best snipeford.Placement, cost, firstEvent float64) {
 	cost = math.Inf(1)
-	baselines := make([]baseline, len(engines))
+	all := make([]baseline, len(engines))
 	for i, r := range engines {
-		baselines[i] = s.baseline(now, req, r)
+		all[i] = s.baseline(now, req, r)
 	}
+	unlimited := s.unlimited(all)
 	for _, helpers := range helperCounts {
 		if !s.helperCountAllowed(req, helpers) {
 			continue
 		}
+		baselines := all
+		if helpers > 0 {
+			baselines = unlimited
+		}
 		if req.AvoidHelpers && helpers > 0 && s.fitsOneEngine(req) {
 			break
 		}
-		if helpers+1 > len(engines) || helpers > 0 && !s.profile.SharedPrefill {
+		if helpers+1 > len(baselines) || helpers > 0 && !s.profile.SharedPrefill {
 			break
 		}
 		if helpers > 0 && req.Prompt/snipeford.Tokens(helpers+1) < minPartTokens {
@@ -163,7 +168,7 @@
 func (s *State) usable(now snipeford.Instant, req snipeford.PlacementRequest) []*replica {
 	var healthy, suspect []*replica
 	for _, r := range s.candidates {
-		if slices.Contains(req.Excluded, r.id) || s.requestRateReached(now, r) {
+		if slices.Contains(req.Excluded, r.id) || s.requestRateReached(now, r) || s.limitReached(now, req, r.id) {
 			continue
 		}
 		if r.suspectUntil > now {
--- a/internal/policy/placement/queue.go
+++ b/internal/policy/placement/queue.go
@@ -52,6 +52,8 @@
 	// typicalResponseSeconds is how long a response takes to decode, to estimate when
 	// the queue is empty.
 	typicalResponseSeconds = 2.5
+	// minRequestCapacity is the least capacity that is assumed, in requests per second.
+	minRequestCapacity = 0.2
 	// retryAfterDivisor sets the latest time to retry after a refusal, as the time
 	// that the caller has left divided by it. Callers accept no later time.
 	retryAfterDivisor = 3
@@ -186,7 +188,7 @@
 // maxEngines returns the largest number of engines that can prefill a prompt
 // together.
 func (s *State) maxEngines(req snipeford.PlacementRequest) int {
-	count := min(int(req.Prompt/minPartTokens), 1+helperCounts[len(helperCounts)-1], len(s.candidates))
+	count := min(int(req.Prompt/minPartTokens), 1+helperCounts[len(helperCounts)-1], s.unlimitedCount())
 	if !s.profile.SharedPrefill || req.AvoidHelpers && s.fitsOneEngine(req) {
 		count = 1
 	}
@@ -200,9 +202,19 @@
 	return min(max(minRetryAfter, 2*backlog), req.TimeLeft/retryAfterDivisor)
 }
 
-// requestCapacity returns how many requests the engines' slots bear in a second.
+// requestCapacity returns how many requests the engines' slots and limits bear in a
+// second.
 func (s *State) requestCapacity() float64 {
-	return float64(max(len(s.candidates), 1)*max(s.profile.Slots, 1)) / typicalResponseSeconds
+	perEngine := float64(max(s.profile.Slots, 1)) / typicalResponseSeconds
+	sum := 0.0
+	for _, r := range s.candidates {
+		limit, limited := s.limits.Limit(r.id)
+		if !limited {
+			limit = perEngine
+		}
+		sum += min(limit, perEngine)
+	}
+	return max(sum, minRequestCapacity)
 }
 
 // sortQueue sorts the queue by priority. Within a priority, short prompts that can
@@ -272,7 +284,8 @@
 	if othersCost, gain := s.costAndGain(req, cost, firstEvent); othersCost > gain {
 		return snipeford.Placement{}, false
 	}
-	p.ExpectedFirstEvent = duration(firstEvent)
+	p.ExpectedFirstEvent, p.Limited = duration(firstEvent), s.isLimited(p.Upstream)
+	s.limits.Sent(now, p.Upstream)
 	j := s.commit(now, req, p)
 	j.expectedFirstEventAt = now.Add(p.ExpectedFirstEvent)
 	return p, true
--- a/internal/policy/placement/state.go
+++ b/internal/policy/placement/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"snipeford"
+	"snipeford/internal/policy/ratelimit"
 )
 
 // State holds the engines of one service and the requests placed on them.
@@ -14,6 +15,8 @@
 	replicas       map[snipeford.UpstreamID]*replica
 	candidates     []*replica
 	jobs           map[snipeford.RequestID]*job
+	// limits are the request limits that engines state.
+	limits ratelimit.Limiter
 	// longLoad is the prefill time per second, in milliseconds, of the prompts
 	// whose prefill time exceeds longLoadPrefillMs or their event gap target, as an
 	// exponentially decaying average at longLoadAt.
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -39,7 +39,7 @@
 		if c.finishIfDone() {
 			return
 		}
-		id, ok := c.Balancer.Pick(c.view, service, c.excluded)
+		id, ok := c.pick(service)
 		if !ok {
 			break
 		}
@@ -48,12 +48,12 @@
 			break
 		}
 		resp, err := c.attemptPlain(service, id)
-		if c.handleResponse(resp, err) {
+		if c.handleResponse(service, resp, err) {
 			return
 		}
 		c.excluded = append(c.excluded, id)
 	}
-	c.finishPlain()
+	c.finishPlain(service)
 }
 
 // attemptPlain sends the request to one upstream and reads its response.
@@ -83,7 +83,7 @@
 		return nil, err
 	}
 	defer x.Close()
-	c.reportDirectives(id, x, sentAt)
+	c.reportDirectives(service, id, false, x, sentAt)
 	c.possibleReceipts++
 	resp, err := readPlainResponse(x)
 	if x.Decoded.HasLoad {
@@ -123,9 +123,9 @@
 
 // handleResponse handles the result of one attempt. It returns true once the
 // request has its final response, and false if another upstream may be tried.
-func (c *requestState) handleResponse(resp *response, err error) bool {
+func (c *requestState) handleResponse(service snipeford.ServiceName, resp *response, err error) bool {
 	if err != nil {
-		return c.handleFailure(err)
+		return c.handleFailure(service, err)
 	}
 	if resp.head.NotRun {
 		c.Log.Decided("upstream did not run the request", c.head.RequestID, "Status", resp.status)
@@ -138,12 +138,12 @@
 	}
 	c.Log.Decided("upstream failed the request", c.head.RequestID, "Status", resp.status, "Sealed", resp.head.Signed, "Attempts", c.possibleRuns)
 	c.lastResponse = resp
-	return !c.mayRetry() && c.finishPlain()
+	return !c.mayRetry() && c.finishPlain(service)
 }
 
 // handleFailure handles an attempt without a response, and returns the same as
 // handleResponse.
-func (c *requestState) handleFailure(err error) bool {
+func (c *requestState) handleFailure(service snipeford.ServiceName, err error) bool {
 	if c.finishIfDone() {
 		return true
 	}
@@ -151,7 +151,7 @@
 	if c.possibleRuns == 0 {
 		return false
 	}
-	return !c.mayRetry() && c.finishPlain()
+	return !c.mayRetry() && c.finishPlain(service)
 }
 
 // mayRetry reports whether a request that may have run may be sent again.
@@ -161,14 +161,14 @@
 
 // finishPlain writes the final response if no upstream returned a successful
 // one. It always returns true.
-func (c *requestState) finishPlain() bool {
+func (c *requestState) finishPlain(service snipeford.ServiceName) bool {
 	switch {
 	case c.lastResponse != nil && !impliesNotRun(c.lastResponse.status) && c.lastResponse.status >= http.StatusInternalServerError:
 		c.writeResponse(c.lastResponse)
 	case c.possibleRuns > 0:
 		c.refuse(upstreamFailed("no upstream answered"))
 	default:
-		c.refuse(overloaded(defaultRetryAfter))
+		c.refuse(overloaded(c.retryAfterLimit(service)))
 	}
 	return true
 }
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -103,7 +103,10 @@
 func (b *stubBalancer) ReportDirectives(snipeford.UpstreamID, snipeford.Directives, snipeford.Instant) bool {
 	return false
 }
-func (b *stubBalancer) EngineEnded() {}
+func (b *stubBalancer) Limited(snipeford.UpstreamID) bool                             { return false }
+func (b *stubBalancer) HoldBack(snipeford.UpstreamID, time.Duration)                  {}
+func (b *stubBalancer) HeldBack(*directory.View, snipeford.ServiceName) time.Duration { return 0 }
+func (b *stubBalancer) EngineEnded()                                                  {}
 
 // stubPlacer is a Placer that selects upstreams like stubBalancer.
 type stubPlacer struct{ *stubBalancer }
@@ -112,6 +115,8 @@
 
 func (stubPlacer) ReportCrash(snipeford.UpstreamCrash) {}
 
+func (stubPlacer) ReportDirectives(snipeford.DirectivesReport) {}
+
 // fakeUpstreams are HTTP servers with a handler each. They record the requests
 // that they receive.
 type fakeUpstreams struct {
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -36,6 +36,8 @@
 	ReportEnd(service snipeford.ServiceName, id snipeford.RequestID, end snipeford.RequestEnd)
 	// ReportCrash reports an attempt whose engine ended while it ran.
 	ReportCrash(crash snipeford.UpstreamCrash)
+	// ReportDirectives reports what an upstream asks in a response.
+	ReportDirectives(report snipeford.DirectivesReport)
 }
 
 // Balancer selects upstreams of services without engines and keeps a retry budget
@@ -56,6 +58,14 @@
 	// ReportDirectives records what an upstream asks in a response, and returns whether
 	// its request limit has changed for this node. The request was sent at sentAt.
 	ReportDirectives(id snipeford.UpstreamID, d snipeford.Directives, sentAt snipeford.Instant) (changed bool)
+	// Limited reports whether the upstream limits its requests, as far as this node
+	// knows.
+	Limited(id snipeford.UpstreamID) bool
+	// HoldBack undoes a Pick of an upstream that may get no request for a while.
+	HoldBack(id snipeford.UpstreamID, d time.Duration)
+	// HeldBack returns how long it takes until the first of the upstreams that are held
+	// back may be picked again, or zero if none is.
+	HeldBack(v *directory.View, service snipeford.ServiceName) time.Duration
 }
 
 // Metrics records the outcome of requests.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -92,9 +92,9 @@
 func (s *streamRequest) place() (snipeford.Placement, *refusal) {
 	s.view = s.View()
 	if s.view.Plan.Service(s.service).Engine == nil {
-		id, ok := s.Balancer.Pick(s.view, s.service, s.excluded)
+		id, ok := s.pick(s.service)
 		if !ok {
-			return snipeford.Placement{}, overloaded(defaultRetryAfter)
+			return snipeford.Placement{}, overloaded(s.retryAfterLimit(s.service))
 		}
 		return snipeford.Placement{RequestID: s.head.RequestID, Upstream: id}, nil
 	}
@@ -180,7 +180,7 @@
 		return s.handleNoResponse(p, err)
 	}
 	defer x.Close()
-	s.reportDirectives(p.Upstream, x, s.attemptStart)
+	s.reportDirectives(s.service, p.Upstream, p.Limited, x, s.attemptStart)
 	s.possibleReceipts++
 	switch {
 	case x.Decoded.NotRun:
--- a/placement.go
+++ b/placement.go
@@ -31,6 +31,9 @@
 	AvoidHelpers bool `json:"Alone"`
 	// PrefixParts lists the parts of the prompt that other requests may share.
 	PrefixParts []PrefixPart `json:"Parts,omitempty"`
+	// Permit, if set, asks only for a permit to send the request to this upstream, which
+	// limits its requests. Its service has no engines.
+	Permit UpstreamID `json:",omitempty"`
 	// Substitute is set if the entry node places the request in place of a home that
 	// did not reply.
 	Substitute bool `json:",omitempty"`
@@ -61,6 +64,8 @@
 	Cause      Cause       `json:",omitempty"`
 	Part       PrefixPart  `json:",omitempty"`
 	Quarantine *Quarantine `json:",omitempty"`
+	// Limited is set if Upstream limits its requests, as far as the home knows.
+	Limited bool `json:",omitempty"`
 }
 
 // PlacedCall is a placed request that has not ended. Entry nodes report theirs to
