Run the soak with replicas that state request limits

Variant limit: every second replica states a limit, and later another one, beside all kinds of faults. Requests count from nodes that were calm and had passed on a response with the limit, as the rule has it.

--- a/cmd/standin/soak/caller.go
+++ b/cmd/standin/soak/caller.go
@@ -57,6 +57,8 @@
 	// reports whether the whole response arrived.
 	status   int
 	complete bool
+	// limited reports whether the response states a request limit of its replica.
+	limited bool
 }
 
 // caller is a client that sends one request after the other on one connection, until
@@ -140,6 +142,7 @@
 		c.disconnect()
 	}
 	e.status, e.complete = resp.StatusCode, err == nil
+	e.limited = resp.Header.Get("Server-Limit") != ""
 	return resp.Header
 }
 
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -59,6 +59,8 @@
 	configurationVersion atomic.Int64
 	// poison is the prompt part on which replicas crash.
 	poison *poison
+	// limited are the replicas that state request limits.
+	limited []*limitedReplica
 	// context ends at close, and with it the pending restarts of replicas.
 	context  context.Context
 	cancel   context.CancelFunc
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -34,10 +34,12 @@
 	// Poison has planned work, and requests with a prompt part on which replicas
 	// crash.
 	Poison Variant = "poison"
+	// Limit has all kinds of faults, and replicas that state request limits.
+	Limit Variant = "limit"
 )
 
 // Variants lists the names of all variants.
-var Variants = []Variant{Mixed, Planned, Poison}
+var Variants = []Variant{Mixed, Planned, Poison, Limit}
 
 const (
 	mixedReplicaFaultRate   = 0.04
@@ -46,10 +48,10 @@
 
 // replicaFaultRate returns the share of requests into which replicas inject a fault.
 func (v Variant) replicaFaultRate() float64 {
-	if v != Mixed {
-		return plannedReplicaFaultRate
+	if v == Mixed || v == Limit {
+		return mixedReplicaFaultRate
 	}
-	return mixedReplicaFaultRate
+	return plannedReplicaFaultRate
 }
 
 // faults returns the kinds of faults of the variant, and how many of them overlap.
@@ -67,7 +69,7 @@
 // runVariantClient runs a client of the run's variant.
 func (f *fleet) runVariantClient(ctx context.Context, number int, r *Report) {
 	switch f.plan.Variant {
-	case Planned:
+	case Planned, Limit:
 		f.runCaller(ctx, number, r, nextPlannedRequest(number))
 	case Poison:
 		f.runPoisonClient(ctx, number, r)
@@ -106,6 +108,8 @@
 		f.checkCuts(r)
 	case Poison:
 		f.checkPoison(r)
+	case Limit:
+		f.checkLimits(r)
 	}
 	return r, nil
 }
--- a/cmd/standin/soak/upstreams.go
+++ b/cmd/standin/soak/upstreams.go
@@ -97,6 +97,9 @@
 		var once sync.Once
 		r.Crash = func() { once.Do(func() { f.crash(h, r) }) }
 	}
+	if f.plan.Variant == Limit {
+		f.limitRandomly(r)
+	}
 	row, err := r.Row(h.relay.Address())
 	if err != nil {
 		return fmt.Errorf("encode row of replica: %w", err)
