Log replicas of plain services that end, with a key of the request

The log did not tell that two requests were the same, nor that a replica of a plain service had ended: only engines were checked. 'engine ended' is logged for both, and its PrefixParts end with a key of the request's target, caller and body.

Tests of relay and edge pass.

--- a/internal/request/relay/ended.go
+++ b/internal/request/relay/ended.go
@@ -7,16 +7,25 @@
 	"snipeford/internal/upstream/connection"
 )
 
+// hasEnded reports whether the VM of an upstream refuses connections to it, and logs what
+// the request may have made it crash with.
+func (c *requestState) hasEnded(service snipeford.ServiceName, id snipeford.UpstreamID, decodeTime time.Duration) bool {
+	u, ok := c.findUpstream(service, id)
+	if !ok || c.ctx.Err() != nil || !c.Pool.Refuses(c.ctx, u.Address) {
+		return false
+	}
+	c.Metrics.EngineEnded()
+	c.Log.Decided("engine ended", c.head.RequestID, "Upstream", id, "DecodeMs", decodeTime.Milliseconds(), "PrefixParts", c.crashKeys())
+	return true
+}
+
 // checkEnded checks whether the engine of an attempt without a complete response has
 // ended, and reports it. A single broken response is no sign of that. The report comes
 // before the next attempt, so that the placer can refuse a prompt that crashes engines.
 func (s *streamRequest) checkEnded(p snipeford.Placement, decodeTime time.Duration) {
-	u, ok := s.findUpstream(s.service, p.Upstream)
-	if !ok || s.ctx.Err() != nil || !s.Pool.Refuses(s.ctx, u.Address) {
+	if !s.hasEnded(s.service, p.Upstream, decodeTime) {
 		return
 	}
-	s.Metrics.EngineEnded()
-	s.Log.Decided("engine ended", s.head.RequestID, "Upstream", p.Upstream, "DecodeMs", decodeTime.Milliseconds(), "PrefixParts", s.head.PrefixParts)
 	if s.view.Plan.Service(s.service).Engine == nil {
 		return
 	}
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -76,6 +76,7 @@
 		if errors.As(err, &f) && f.Sent {
 			c.possibleRuns++
 			c.possibleReceipts++
+			c.hasEnded(service, id, 0)
 		}
 		// If the context has ended, the caller disconnected or the deadline passed,
 		// which is not a fault of the upstream.
@@ -86,6 +87,9 @@
 	c.reportDirectives(service, id, false, x, sentAt)
 	c.possibleReceipts++
 	resp, err := readPlainResponse(x)
+	if err != nil && !errors.Is(err, errNeverPassedOn) && !errors.Is(err, errResponseTooLong) {
+		c.hasEnded(service, id, 0)
+	}
 	if x.Decoded.HasLoad {
 		c.Balancer.ReportLoad(id, x.Decoded.Running+x.Decoded.Waiting)
 	}
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -11,6 +11,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -187,6 +188,8 @@
 	org      snipeford.Organisation
 	priority int
 	body     []byte
+	// key identifies all requests with the same target, caller and body.
+	key      snipeford.PrefixPart
 	start    snipeford.Instant
 	deadline snipeford.Instant
 	// possibleRuns counts the upstreams that may have run the request,
@@ -322,6 +325,11 @@
 	return nil
 }
 
+// crashKeys returns what may make an upstream crash that runs the request.
+func (c *requestState) crashKeys() []snipeford.PrefixPart {
+	return append(slices.Clone(c.head.PrefixParts), c.key)
+}
+
 // serve forwards the request to a service that is drawn by the route's weights.
 func (c *requestState) serve() {
 	// Without a deadline, a caller that no longer reads would hold the request, and
@@ -331,6 +339,7 @@
 	}
 	service := plan.Pick(c.route, rand.Float64())
 	c.Balancer.CountRequest(service)
+	c.key = snipeford.RequestKey(c.r.Host, c.r.RequestURI, c.org, c.body)
 	if c.route.Kind == snipeford.RouteStream {
 		newStreamRequest(c, service).serve()
 		return
