Keep a request that crashes replicas from the others

Callers of a plain service were refused for seconds, again and again: a request that came back with the same path, caller and body ended all replicas of the service, each time after their restart.

Cause: nothing related requests with the same content (hypothesis 1), and the quarantine of prompt parts saw neither plain services nor whole requests (hypothesis 2). The repeat within one attempt (hypothesis 3) doubled the crashes, but did not cause them.

Change: the quarantine takes the key of a whole request beside the parts, and is preferred to a part that explains the same crashes. Entry nodes report replicas of plain services that end. The home sends the list of requests that may have caused a crash to all nodes, which then ask it before they send one: copies run one after the other from the first crash on, without repeats after the second, and are refused after the third. A response that arrives clears the request. A node that becomes the home counts its own earlier reports too, which it had sent to the home before only.

TestEngineEnds expects the key after the parts.

--- a/cmd/standin/soak/caller.go
+++ b/cmd/standin/soak/caller.go
@@ -33,7 +33,7 @@
 	if q.work != (standin.Work{}) {
 		url += "?" + q.work.Query()
 	}
-	body := bytes.Repeat([]byte("x"), 200)
+	body := bytes.Repeat([]byte(q.id+" "), bodyBytes/(len(q.id)+1)+1)[:bodyBytes]
 	req, err := http.NewRequest(http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, fmt.Errorf("encode request %s: %w", q.id, err)
@@ -44,6 +44,10 @@
 	return req, nil
 }
 
+// bodyBytes is the length of a request's body, which repeats the request's id: requests
+// with the same body are the same to nodes.
+const bodyBytes = 200
+
 // isStream reports whether the response is a stream.
 func (q request) isStream() bool { return q.route == "once" || q.route == "stream" }
 
--- a/internal/control/placer/limits.go
+++ b/internal/control/placer/limits.go
@@ -27,12 +27,12 @@
 	s.service(r.Service).ReportLimit(now, sentAt, r.Upstream, r.Directives.RequestLimit)
 }
 
-// permit replies whether a request may be sent to an upstream with a limit. A node that
+// permit replies whether a request may be sent to an upstream. A node that
 // stands in for the home does not know the requests of the other nodes.
 func (s *State) permit(now snipeford.Instant, r snipeford.PlacementRequest) {
 	p := snipeford.Placement{RequestID: r.RequestID, EntryNode: r.EntryNode, Upstream: r.Permit}
 	if r.Substitute {
-		p.Refused, p.RetryAfter, p.Limited = true, substituteRetryAfter, true
+		p.Refused, p.RetryAfter = true, substituteRetryAfter
 	} else {
 		p.Limited, p.RetryAfter = s.service(r.Service).Permit(now, r.Permit)
 		p.Refused = p.RetryAfter > 0
--- a/internal/control/placer/loop.go
+++ b/internal/control/placer/loop.go
@@ -23,6 +23,10 @@
 	// are known. It must not block.
 	Decided func(changes, all []snipeford.Quarantine)
 
+	// Watched, if not nil, is called with each changed list of watched requests. It must
+	// not block.
+	Watched func(Watch)
+
 	state  State
 	events chan Event
 	done   chan struct{}
@@ -117,6 +121,11 @@
 		}
 		l.Deliver(r)
 	}
+	for _, w := range l.state.Watches() {
+		if l.Watched != nil {
+			l.Watched(w)
+		}
+	}
 	if changes := l.state.Changes(); len(changes) > 0 && l.Decided != nil {
 		l.Decided(slices.Clone(changes), l.state.Quarantines())
 	}
--- a/internal/control/placer/quarantine.go
+++ b/internal/control/placer/quarantine.go
@@ -24,7 +24,7 @@
 // admit refuses a request with a part that crashed engines.
 func (s *State) admit(now snipeford.Instant, r snipeford.PlacementRequest) quarantine.Refusal {
 	return s.service(r.Service).quarantine.Admit(now, quarantine.Request{
-		ID: r.RequestID, Parts: r.PrefixParts, Repeated: len(r.Excluded) > 0, MayBeTrial: !r.Substitute,
+		ID: r.RequestID, Parts: r.PrefixParts, Repeated: len(r.Excluded) > 0, MayBeTrial: !r.Substitute, Alone: r.Permit != "",
 	})
 }
 
@@ -56,6 +56,9 @@
 	if request, began, ok := service.Decoding(e.RequestID); ok && e.End.Completed {
 		service.quarantine.Survived(now, request.PrefixParts, began)
 	}
+	if len(e.End.Keys) > 0 && e.End.Completed {
+		service.quarantine.Survived(now, e.End.Keys, now.Add(-e.End.Age))
+	}
 	service.End(now, e.RequestID, e.End.Failed, e.End.FaultUpstream)
 }
 
@@ -76,6 +79,10 @@
 		s.reports = append(s.reports, report{now, e.Crash})
 		s.reports = s.reports[max(0, len(s.reports)-maxReports):]
 	}
+	if e.AtHome && !e.Own {
+		// Another node takes this one for the home, maybe before it does so itself.
+		s.recordOwnReports(now, e.Crash.Service)
+	}
 	if e.AtHome {
 		s.recordCrash(now, e.Crash)
 	}
@@ -93,6 +100,15 @@
 	return out
 }
 
+// recordOwnReports records the crashes that this node has reported to earlier homes.
+func (s *State) recordOwnReports(now snipeford.Instant, name snipeford.ServiceName) {
+	for _, c := range s.repeatedReports(now) {
+		if c.Service == name {
+			s.recordCrash(now, c)
+		}
+	}
+}
+
 // recordCrash records the parts of a request whose engine ended. One that had been
 // decoding for a while did not cause it.
 func (s *State) recordCrash(now snipeford.Instant, c snipeford.UpstreamCrash) {
--- a/internal/control/placer/state.go
+++ b/internal/control/placer/state.go
@@ -53,6 +53,9 @@
 // DirectivesReceived reports what an upstream asks of the nodes in a response.
 type DirectivesReceived struct{ Report snipeford.DirectivesReport }
 
+// HomeTaken reports that this node has become the home of a service.
+type HomeTaken struct{ Service snipeford.ServiceName }
+
 // NodeSynced reports what another node knows. Its running requests replace those that
 // were reported before.
 type NodeSynced struct {
@@ -85,6 +88,7 @@
 func (RequestEnded) event()       {}
 func (UpstreamCrashed) event()    {}
 func (DirectivesReceived) event() {}
+func (HomeTaken) event()          {}
 func (NodeSynced) event()         {}
 func (NodeLost) event()           {}
 func (DirectoryChanged) event()   {}
@@ -105,6 +109,7 @@
 	services map[snipeford.ServiceName]*service
 	replies  []PlacementReply
 	changes  []snipeford.Quarantine
+	watches  []Watch
 	// reports are the crashes that this node has reported.
 	reports []report
 }
@@ -113,12 +118,15 @@
 type service struct {
 	*placement.State
 	quarantine quarantine.State
+	// hasEngines is set if the home places all requests of the service, so that no
+	// permits are needed.
+	hasEngines bool
 }
 
 // Apply applies one event and returns the replies to send. The returned slice
 // is valid until the next call.
 func (s *State) Apply(now snipeford.Instant, e Event) []PlacementReply {
-	s.replies, s.changes = s.replies[:0], s.changes[:0]
+	s.replies, s.changes, s.watches = s.replies[:0], s.changes[:0], s.watches[:0]
 	switch e := e.(type) {
 	case PlacementRequested:
 		s.requestPlacement(now, e.Request)
@@ -137,6 +145,8 @@
 			s.recordCrash(now, c)
 		}
 		s.mergeLimits(now, e.Known.Limits)
+	case HomeTaken:
+		s.recordOwnReports(now, e.Service)
 	case DirectivesReceived:
 		s.recordDirectives(now, e.Report)
 	case NodeLost:
@@ -157,9 +167,12 @@
 			service.quarantine.Tick(now)
 		}
 	}
-	for _, service := range s.services {
+	for name, service := range s.services {
 		s.addReplies(service.Next(now))
 		s.applyQuarantines(service)
+		if keys, changed := service.quarantine.Watched(); changed && !service.hasEngines {
+			s.watches = append(s.watches, Watch{name, keys})
+		}
 	}
 	for _, reply := range s.replies {
 		if reply.Placement.Refused {
@@ -199,7 +212,7 @@
 	}
 	p, ok := s.services[name]
 	if !ok {
-		p = &service{placement.New(), quarantine.State{Service: name}}
+		p = &service{State: placement.New(), quarantine: quarantine.State{Service: name}}
 		s.services[name] = p
 	}
 	return p
@@ -228,6 +241,7 @@
 			continue
 		}
 		service := s.service(name)
+		service.hasEngines = true
 		service.Configure(*profile.Engine, profile.ColdRequestsPerSecond)
 		service.SetCandidates(s.candidates(list))
 	}
--- /dev/null
+++ b/internal/control/placer/watch.go
@@ -0,0 +1,14 @@
+package placer
+
+import "snipeford"
+
+// Watch lists the keys of requests of a service that may crash its upstreams. Nodes ask
+// the home for a permit before they send such a request.
+type Watch struct {
+	Service snipeford.ServiceName
+	Keys    []snipeford.PrefixPart `json:",omitempty"`
+}
+
+// Watches returns the lists that the last event changed. The returned slice is valid
+// until the next call of Apply.
+func (s *State) Watches() []Watch { return s.watches }
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -38,8 +38,10 @@
 	Directives *snipeford.DirectivesReport `json:",omitempty"`
 	// Sync is what the sender knows that the home of its services has to know.
 	Sync *placer.Known `json:",omitempty"`
-	Ping *Ping         `json:",omitempty"`
-	Pong *Pong         `json:",omitempty"`
+	// Watch lists the requests for which the sender's permit is needed.
+	Watch *placer.Watch `json:",omitempty"`
+	Ping  *Ping         `json:",omitempty"`
+	Pong  *Pong         `json:",omitempty"`
 	// Subscribe requests the rows that the peer has, and all later changes.
 	Subscribe *Subscribe `json:",omitempty"`
 	Rows      *Rows      `json:",omitempty"`
@@ -68,10 +70,13 @@
 	Load          snipeford.EngineLoad `json:",omitzero"`
 	// Completed is set if the response is complete.
 	Completed bool `json:",omitempty"`
+	// Keys and Age are those of snipeford.RequestEnd.
+	Keys []snipeford.PrefixPart `json:",omitempty"`
+	Age  time.Duration          `json:",omitempty"`
 }
 
 func (p *Progress) end() snipeford.RequestEnd {
-	return snipeford.RequestEnd{Failed: p.Failed, FaultUpstream: p.FaultUpstream, Completed: p.Completed}
+	return snipeford.RequestEnd{Failed: p.Failed, FaultUpstream: p.FaultUpstream, Completed: p.Completed, Keys: p.Keys, Age: p.Age}
 }
 
 // Ping requests a Pong with the same number.
@@ -101,6 +106,8 @@
 	mu      sync.Mutex
 	encoder *json.Encoder
 	timer   *timer.Clock
+	// watchMu keeps lists of watched requests in order.
+	watchMu sync.Mutex
 }
 
 func newFrameConn(c net.Conn, t *timer.Clock) *frameConn {
--- a/internal/fleet/grant/grant_test.go
+++ b/internal/fleet/grant/grant_test.go
@@ -43,12 +43,12 @@
 }
 
 func directoryView(peers map[snipeford.NodeID]directory.Peer) *directory.View {
-	r := snipeford.Routing{Version: 1, Services: []snipeford.ServiceProfile{{Name: "s", Engine: engineProfile()}}}
+	r := snipeford.Routing{Version: 1, Services: []snipeford.ServiceProfile{{Name: "s", Engine: engineProfile()}, {Name: "plain"}}}
 	var usable []directory.Upstream
 	for _, id := range []snipeford.UpstreamID{"e0", "e1", "e2", "e3"} {
 		usable = append(usable, directory.Upstream{Upstream: snipeford.Upstream{ID: id}})
 	}
-	return &directory.View{Plan: plan.New(r), Usable: map[snipeford.ServiceName][]directory.Upstream{"s": usable}, Peers: peers}
+	return &directory.View{Plan: plan.New(r), Usable: map[snipeford.ServiceName][]directory.Upstream{"s": usable, "plain": usable}, Peers: peers}
 }
 
 // cluster describes the nodes that a test starts. The zero value of each field but
@@ -148,6 +148,10 @@
 		}
 		n.confirmations.Add(1)
 	}
+	loop.Watched = func(list placer.Watch) {
+		client.SetWatch(list)
+		server.Watch(list)
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	go func() { _ = loop.Run(ctx) }()
--- a/internal/fleet/grant/link.go
+++ b/internal/fleet/grant/link.go
@@ -164,6 +164,8 @@
 			l.handlePlacement(*f.Placement)
 		case f.Pong != nil:
 			l.handlePong(*f.Pong)
+		case f.Watch != nil:
+			l.client.watches.set(l.node, *f.Watch)
 		case f.Rows != nil:
 			if err := l.handleRows(*f.Rows); err != nil {
 				return err
--- a/internal/fleet/grant/links.go
+++ b/internal/fleet/grant/links.go
@@ -74,6 +74,7 @@
 	// in use.
 	feederOrder []snipeford.NodeID
 	feederLink  *link
+	watches     watches
 }
 
 // Run keeps the links connected until ctx ends.
@@ -180,6 +181,7 @@
 		if !wanted[id] || v.Peers[id].Address != l.address {
 			l.cancel()
 			delete(c.links, id)
+			c.watches.forget(id)
 		}
 	}
 	for id, want := range wanted {
@@ -209,6 +211,8 @@
 		c.homes[service] = node
 		if chosen != nil {
 			go func() { chosen.notify(Frame{Sync: c.knownToHome()}) }()
+		} else {
+			go c.Loop.Send(placer.HomeTaken{Service: service})
 		}
 	}
 	return chosen
@@ -364,7 +368,7 @@
 func (c *Client) ReportEnd(service snipeford.ServiceName, id snipeford.RequestID, end snipeford.RequestEnd) {
 	c.Loop.Send(placer.RequestEnded{Service: service, RequestID: id, End: end})
 	if homeLink := c.selectHome(service); homeLink != nil {
-		homeLink.notify(Frame{RequestEnded: &Progress{Service: service, RequestID: id, Failed: end.Failed, FaultUpstream: end.FaultUpstream, Completed: end.Completed}})
+		homeLink.notify(Frame{RequestEnded: &Progress{Service: service, RequestID: id, Failed: end.Failed, FaultUpstream: end.FaultUpstream, Completed: end.Completed, Keys: end.Keys, Age: end.Age}})
 	}
 }
 
@@ -372,6 +376,7 @@
 // and to the home.
 func (c *Client) ReportCrash(crash snipeford.UpstreamCrash) {
 	homeLink := c.selectHome(crash.Service)
+	c.watches.watchOwn(c.Timer.Now(), crash)
 	c.Loop.Send(placer.UpstreamCrashed{Crash: crash, Own: true, AtHome: homeLink == nil})
 	if homeLink != nil {
 		homeLink.notify(Frame{UpstreamCrashed: &crash})
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -33,6 +33,8 @@
 	// Subscribe starts a subscription of another node.
 	Subscribe SubscribeFunc
 
+	watched watchList
+
 	mu    sync.Mutex
 	peers map[snipeford.NodeID]*frameConn
 }
@@ -72,6 +74,9 @@
 	}
 	node := first.Hello.Node
 	s.addPeer(node, fc)
+	for _, list := range s.watched.all() {
+		go s.sendWatch(node, fc, list.Service)
+	}
 	s.Log.Info("peer connected", "Peer", node, "Incarnation", first.Hello.Incarnation)
 	f := &feedWriter{conn: fc, frames: make(chan Frame, maxQueuedFrames)}
 	defer f.stop()
--- a/internal/operate/edge/drain_test.go
+++ b/internal/operate/edge/drain_test.go
@@ -199,6 +199,7 @@
 }
 func (*queuePlacer) ReportEnd(snipeford.ServiceName, snipeford.RequestID, snipeford.RequestEnd) {}
 func (*queuePlacer) ReportCrash(snipeford.UpstreamCrash)                                        {}
+func (*queuePlacer) Watched(snipeford.ServiceName, snipeford.PrefixPart) bool                   { return false }
 func (*queuePlacer) ReportDirectives(snipeford.DirectivesReport)                                {}
 
 // stoppingNode is a node with the routes /stream/, /plain/ and /events/, which is a
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -127,6 +127,10 @@
 	n.peerClient = &grant.Client{Self: n.self, Loop: n.loop, Timer: t, Log: n.log, Staleness: n.staleness}
 	n.peerServer = &grant.Server{Loop: n.loop, Timer: t, Log: n.log, RoutingStatus: n.routingStatus}
 	n.loop.Deliver, n.loop.Decided = n.peerServer.Deliver, n.decided
+	n.loop.Watched = func(list placer.Watch) {
+		n.peerClient.SetWatch(list)
+		n.peerServer.Watch(list)
+	}
 	n.follower = &follower{store: platform.Feed, decoder: platform.RowDecoder, timer: t, tracker: &n.tracker, log: n.log, onChange: n.applyView}
 	n.follower.hasFreshRows = n.peerClient.HasFreshFeed
 	n.follower.feederHealthy = n.peerClient.FeederHealthy
--- a/internal/operate/edge/quarantine.go
+++ b/internal/operate/edge/quarantine.go
@@ -16,10 +16,14 @@
 func (n *Node) decided(changes, all []snipeford.Quarantine) {
 	for _, q := range changes {
 		n.counts.QuarantineDecided(q.Released)
-		message := "prefix part quarantined"
+		subject, decision := "prefix part", "quarantined"
+		if q.Part.IsRequest() {
+			subject = "request"
+		}
 		if q.Released {
-			message = "prefix part released"
+			decision = "released"
 		}
+		message := subject + " " + decision
 		n.log.Info(message, "Service", q.Service, "Part", q.Part, "Generation", q.Generation, "Trials", q.Trials, "Upstreams", q.Upstreams)
 	}
 	select {
--- a/internal/policy/quarantine/admission.go
+++ b/internal/policy/quarantine/admission.go
@@ -16,6 +16,9 @@
 	// MayBeTrial is set if the request may be sent to an engine to try a quarantined
 	// part. Only one node may make trials.
 	MayBeTrial bool
+	// Alone is set if no request with a suspect key of its own may run at the same time.
+	// Two such requests that always crash together could not be told apart.
+	Alone bool
 }
 
 // Refusal says why a request is refused. Its zero value means that it is accepted.
@@ -67,7 +70,8 @@
 	return Refusal{Cause: snipeford.CauseQuarantined, Part: q.Part, Quarantine: &q, RetryAfter: initialTrialInterval}
 }
 
-// admitSuspect accepts one request at a time for each suspect part, and no repeats.
+// admitSuspect accepts one request at a time for each suspect part, and no repeats. Whole
+// requests run one at a time from their first crash on: their copies come at any node.
 func (s *State) admitSuspect(now snipeford.Instant, r Request) Refusal {
 	var suspects []snipeford.PrefixPart
 	for _, part := range s.suspects {
@@ -76,7 +80,10 @@
 		}
 	}
 	if len(suspects) == 0 {
-		return Refusal{}
+		return s.admitCopy(now, r)
+	}
+	if r.Alone && s.isRunning(now, r.ID, s.suspects) {
+		return Refusal{Cause: snipeford.CauseSuspectPrompt, Part: suspects[0], RetryAfter: suspectRetryAfter}
 	}
 	mixed := len(suspects) > 1 && now.Sub(s.crashes[len(s.crashes)-1].at) < mixedSuspectPause
 	if r.Repeated || mixed || s.isRunning(now, r.ID, suspects) {
@@ -86,6 +93,21 @@
 	return Refusal{}
 }
 
+// admitCopy accepts one request at a time with a key that may have caused one crash.
+func (s *State) admitCopy(now snipeford.Instant, r Request) Refusal {
+	for _, part := range r.Parts {
+		if !part.IsRequest() || !s.hasCrashed(part) {
+			continue
+		}
+		keys := []snipeford.PrefixPart{part}
+		if s.isRunning(now, r.ID, keys) {
+			return Refusal{Cause: snipeford.CauseSuspectPrompt, Part: part, RetryAfter: suspectRetryAfter}
+		}
+		s.start(now, r.ID, keys)
+	}
+	return Refusal{}
+}
+
 func (s *State) start(now snipeford.Instant, id snipeford.RequestID, parts []snipeford.PrefixPart) {
 	if s.runs == nil {
 		s.runs = map[snipeford.RequestID]run{}
--- a/internal/policy/quarantine/quarantine.go
+++ b/internal/policy/quarantine/quarantine.go
@@ -50,6 +50,8 @@
 	maxCrashes       = 64
 	maxPartsPerCrash = 512
 	maxQuarantines   = 64
+	// maxWatched bounds the keys of requests that Watched returns.
+	maxWatched = 256
 	// maxEvidence is the number of engines that a quarantine names.
 	maxEvidence = 5
 )
@@ -61,6 +63,9 @@
 	initialTrialInterval = 30 * time.Second
 	trialBackoff         = 4
 	maxTrialInterval     = time.Hour
+	// requestTrialInterval takes the place of initialTrialInterval for a whole request.
+	// Fewer callers miss one request than a part.
+	requestTrialInterval = 5 * time.Minute
 	// suspectRetryAfter is the Retry-After of a request with a suspect part. One
 	// response takes some seconds.
 	suspectRetryAfter = 1 * time.Second
@@ -113,6 +118,10 @@
 	// unsettled is set if crashes may come to count without a further event.
 	unsettled bool
 	changes   []snipeford.Quarantine
+	// watched is what Watched returned last, and watchChanged is set if it may return
+	// other keys now.
+	watched      []snipeford.PrefixPart
+	watchChanged bool
 }
 
 // Crashed records that a request ran on an engine that ended at an instant. The request
@@ -154,6 +163,10 @@
 func (s *State) Decoding(parts []snipeford.PrefixPart, began snipeford.Instant) {
 	changed := false
 	for _, part := range parts {
+		if part.IsRequest() && s.lastCrash(part) == 0 {
+			// Most requests come once. Their keys would displace the parts in the history.
+			continue
+		}
 		s.history.record(part, began)
 		if s.clearBefore(part, began) {
 			changed = true
@@ -225,7 +238,8 @@
 	s.unsettled = waiting || len(s.crashes) > 0 && s.crashes[len(s.crashes)-1].at > settled
 }
 
-// guilty returns the candidate that is to be quarantined next.
+// guilty returns the candidate that is to be quarantined next. Of a request and a part
+// of its prompt that explain the same crashes, that is the request: fewer callers miss it.
 func guilty(ranked []candidate) (snipeford.PrefixPart, bool) {
 	var first *candidate
 	for i, c := range ranked {
@@ -234,7 +248,7 @@
 			return first.part, true
 		case c.score < convictingCrashes:
 			return "", false
-		case c.dominated(ranked):
+		case c.dominated(ranked), first != nil && first.part.IsRequest() && c.crashes&^first.crashes == 0:
 		case first != nil && first.score < decidingCrashes:
 			return "", false
 		case first == nil:
@@ -293,6 +307,9 @@
 // trialAt returns when the next trial may start.
 func (r *record) trialAt() snipeford.Instant {
 	interval := initialTrialInterval
+	if r.Part.IsRequest() {
+		interval = requestTrialInterval
+	}
 	for range r.Trials {
 		interval = min(trialBackoff*interval, maxTrialInterval)
 		if interval == maxTrialInterval {
--- a/internal/policy/quarantine/ranking.go
+++ b/internal/policy/quarantine/ranking.go
@@ -54,11 +54,22 @@
 		out = append(out, *f)
 	}
 	slices.SortFunc(out, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.lastBegan, b.lastBegan), cmp.Compare(b.all, a.all), cmp.Compare(a.part, b.part))
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.lastBegan, b.lastBegan), cmp.Compare(b.all, a.all), requestFirst(a.part, b.part), cmp.Compare(a.part, b.part))
 	})
 	return out
 }
 
+// requestFirst orders keys of requests before parts.
+func requestFirst(a, b snipeford.PrefixPart) int {
+	switch {
+	case a.IsRequest() == b.IsRequest():
+		return 0
+	case a.IsRequest():
+		return -1
+	}
+	return 1
+}
+
 // dominated reports whether another part may have caused all crashes of the candidate
 // and further ones. Such a candidate only was beside the other part.
 func (c candidate) dominated(all []candidate) bool {
@@ -68,6 +79,7 @@
 // updateSuspects recomputes the suspect parts. Unlike a quarantine, a suspicion counts
 // a crash at once: its requests are about to be repeated.
 func (s *State) updateSuspects() {
+	s.watchChanged = true
 	s.suspects = s.suspects[:0]
 	for _, c := range s.ranking(math.MaxInt64, math.MaxInt64) {
 		if c.successive >= suspectCrashes {
--- a/internal/request/relay/directives.go
+++ b/internal/request/relay/directives.go
@@ -1,6 +1,8 @@
 package relay
 
 import (
+	"cmp"
+	"net/http"
 	"time"
 
 	"snipeford"
@@ -28,23 +30,75 @@
 }
 
 // pick selects an upstream of a service without engines, and asks the home for a permit
-// if the upstream limits its requests.
+// if the upstream limits its requests or the request is watched.
 func (c *requestState) pick(service snipeford.ServiceName) (snipeford.UpstreamID, bool) {
 	for c.ctx.Err() == nil {
 		id, ok := c.Balancer.Pick(c.view, service, c.excluded)
-		if !ok || !c.Balancer.Limited(id) {
+		watched := ok && c.Placer.Watched(service, c.key)
+		if !ok || !watched && !c.Balancer.Limited(id) {
 			return id, ok
 		}
-		p, by := c.Placer.Place(c.ctx, snipeford.PlacementRequest{RequestID: c.head.RequestID, Service: service, Permit: id, TimeLeft: c.timeLeft()})
+		p, by := c.askPermit(service, id, watched)
 		if !p.Refused {
+			c.watched = watched
 			return id, true
 		}
-		c.Log.Decided("no permit", c.head.RequestID, "By", by, "Upstream", id, "WaitMs", p.RetryAfter.Milliseconds())
-		c.Balancer.HoldBack(id, max(p.RetryAfter, minHoldTime))
+		c.Log.Decided("no permit", c.head.RequestID, "By", by, "Upstream", id, "Cause", p.Cause, "WaitMs", p.RetryAfter.Milliseconds())
+		if p.Cause == "" && c.Balancer.Limited(id) {
+			c.Balancer.HoldBack(id, max(p.RetryAfter, minHoldTime))
+			continue
+		}
+		c.Balancer.HoldBack(id, 0)
+		if p.Cause == snipeford.CauseQuarantined || !c.awaitTurn() {
+			c.suspected = &refusal{status: http.StatusServiceUnavailable, cause: cmp.Or(p.Cause, snipeford.CauseSuspectPrompt), retryAfter: p.RetryAfter, reason: reasonSameRequest}
+			return "", false
+		}
 	}
 	return "", false
 }
 
+// reasonSameRequest is the reason of a refusal because of the key of the request.
+const reasonSameRequest = "upstreams ended under requests with the same target, caller and body"
+
+func (c *requestState) askPermit(service snipeford.ServiceName, id snipeford.UpstreamID, watched bool) (snipeford.Placement, snipeford.NodeID) {
+	r := snipeford.PlacementRequest{RequestID: c.head.RequestID, Service: service, Permit: id, TimeLeft: c.timeLeft()}
+	if watched {
+		r.PrefixParts = []snipeford.PrefixPart{c.key}
+	}
+	if c.possibleReceipts > 0 {
+		r.Excluded = c.excluded
+	}
+	return c.Placer.Place(c.ctx, r)
+}
+
+// awaitTurn waits before a watched request asks for a permit again: requests with the
+// same key run one after the other. It returns false if the request should not wait:
+// an upstream has ended under it, or it would be late.
+func (c *requestState) awaitTurn() bool {
+	if c.possibleReceipts > 0 || c.Timer.Now().Sub(c.start) > max(c.route.LatencyTarget, minTurnWait) {
+		return false
+	}
+	return c.Timer.Sleep(c.ctx, turnInterval)
+}
+
+// reportWatched reports the end of an attempt that had a permit for a watched request.
+func (c *requestState) reportWatched(service snipeford.ServiceName, completed bool, sentAt snipeford.Instant) {
+	if !c.watched {
+		return
+	}
+	c.watched = false
+	c.Placer.ReportEnd(service, c.head.RequestID, snipeford.RequestEnd{
+		Completed: completed, Keys: []snipeford.PrefixPart{c.key}, Age: c.Timer.Now().Sub(sentAt),
+	})
+}
+
+const (
+	// turnInterval is the time between two tries to get a permit for a watched request,
+	// and minTurnWait how long it tries at least.
+	turnInterval = 20 * time.Millisecond
+	minTurnWait  = 200 * time.Millisecond
+)
+
 // minHoldTime is the least time for which an upstream without a permit is not picked.
 const minHoldTime = 10 * time.Millisecond
 
--- a/internal/request/relay/ended.go
+++ b/internal/request/relay/ended.go
@@ -19,6 +19,14 @@
 	return true
 }
 
+// checkCrash reports an attempt at a plain service without a complete response if its
+// upstream has ended.
+func (c *requestState) checkCrash(service snipeford.ServiceName, id snipeford.UpstreamID, sentAt snipeford.Instant) {
+	if c.hasEnded(service, id, 0) {
+		c.Placer.ReportCrash(snipeford.UpstreamCrash{Service: service, Upstream: id, PrefixParts: []snipeford.PrefixPart{c.key}, Age: c.Timer.Now().Sub(sentAt)})
+	}
+}
+
 // checkEnded checks whether the engine of an attempt without a complete response has
 // ended, and reports it. A single broken response is no sign of that. The report comes
 // before the next attempt, so that the placer can refuse a prompt that crashes engines.
@@ -26,11 +34,12 @@
 	if !s.hasEnded(s.service, p.Upstream, decodeTime) {
 		return
 	}
+	keys := s.crashKeys()
 	if s.view.Plan.Service(s.service).Engine == nil {
-		return
+		keys = []snipeford.PrefixPart{s.key}
 	}
 	s.Placer.ReportCrash(snipeford.UpstreamCrash{
-		Service: s.service, Upstream: p.Upstream, PrefixParts: s.head.PrefixParts,
+		Service: s.service, Upstream: p.Upstream, PrefixParts: keys,
 		Age: s.Timer.Now().Sub(s.attemptStart), DecodeTime: decodeTime,
 	})
 }
@@ -39,7 +48,8 @@
 // response states no length, the end of its engine looks like the end of the response.
 func (s *streamRequest) reportStreamEnd(p snipeford.Placement, x *connection.Exchange, decodeTime time.Duration) {
 	if s.view.Plan.Service(s.service).Engine == nil {
-		s.reportEnd(p, false, "")
+		s.Balancer.Ended(p.Upstream, false)
+		s.reportWatched(s.service, x.SelfDelimited, s.attemptStart)
 		return
 	}
 	s.Placer.ReportEnd(s.service, p.RequestID, snipeford.RequestEnd{Completed: x.SelfDelimited && decodeTime > 0})
--- a/internal/request/relay/ended_test.go
+++ b/internal/request/relay/ended_test.go
@@ -67,12 +67,13 @@
 		}
 	}
 	t.Run("before its response", func(t *testing.T) {
+		want := append(slices.Clone(testParts), snipeford.RequestKey("127.0.0.1", "/resumable/x", "", []byte("body")))
 		var h *harness
 		h, p := newCrashHarness(t, crash(&h, 1, 0))
 		assertResponse(t, h.call(t, http.MethodPost, "/resumable/x"), 502, "")
 		crashes, _ := p.reported()
-		if len(crashes) != 1 || crashes[0].Upstream != "a" || crashes[0].DecodeTime != 0 || !slices.Equal(crashes[0].PrefixParts, testParts) {
-			t.Errorf("got crashes %+v, want one of a with parts %v", crashes, testParts)
+		if len(crashes) != 1 || crashes[0].Upstream != "a" || crashes[0].DecodeTime != 0 || !slices.Equal(crashes[0].PrefixParts, want) {
+			t.Errorf("got crashes %+v, want one of a with parts %v", crashes, want)
 		}
 		assertRequestCount(t, h, 1)
 	})
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -45,6 +45,7 @@
 		}
 		if !c.allowSend(service) {
 			c.Balancer.Ended(id, false)
+			c.reportWatched(service, false, c.Timer.Now())
 			break
 		}
 		resp, err := c.attemptPlain(service, id)
@@ -67,6 +68,7 @@
 	u, ok := c.findUpstream(service, id)
 	if !ok {
 		c.Balancer.Ended(id, false)
+		c.reportWatched(service, false, c.Timer.Now())
 		return nil, fmt.Errorf("%w: %s", errUnknownUpstream, id)
 	}
 	sentAt := c.Timer.Now()
@@ -76,8 +78,9 @@
 		if errors.As(err, &f) && f.Sent {
 			c.possibleRuns++
 			c.possibleReceipts++
-			c.hasEnded(service, id, 0)
+			c.checkCrash(service, id, sentAt)
 		}
+		c.reportWatched(service, false, sentAt)
 		// If the context has ended, the caller disconnected or the deadline passed,
 		// which is not a fault of the upstream.
 		c.Balancer.Ended(id, c.ctx.Err() == nil)
@@ -88,8 +91,9 @@
 	c.possibleReceipts++
 	resp, err := readPlainResponse(x)
 	if err != nil && !errors.Is(err, errNeverPassedOn) && !errors.Is(err, errResponseTooLong) {
-		c.hasEnded(service, id, 0)
+		c.checkCrash(service, id, sentAt)
 	}
+	c.reportWatched(service, err == nil && !x.Decoded.NotRun, sentAt)
 	if x.Decoded.HasLoad {
 		c.Balancer.ReportLoad(id, x.Decoded.Running+x.Decoded.Waiting)
 	}
@@ -171,6 +175,8 @@
 		c.writeResponse(c.lastResponse)
 	case c.possibleRuns > 0:
 		c.refuse(upstreamFailed("no upstream answered"))
+	case c.suspected != nil:
+		c.refuse(c.suspected)
 	default:
 		c.refuse(overloaded(c.retryAfterLimit(service)))
 	}
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -117,6 +117,8 @@
 
 func (stubPlacer) ReportDirectives(snipeford.DirectivesReport) {}
 
+func (stubPlacer) Watched(snipeford.ServiceName, snipeford.PrefixPart) bool { return false }
+
 // fakeUpstreams are HTTP servers with a handler each. They record the requests
 // that they receive.
 type fakeUpstreams struct {
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -37,6 +37,9 @@
 	ReportEnd(service snipeford.ServiceName, id snipeford.RequestID, end snipeford.RequestEnd)
 	// ReportCrash reports an attempt whose engine ended while it ran.
 	ReportCrash(crash snipeford.UpstreamCrash)
+	// Watched reports whether a request with a key needs a permit, since upstreams of its
+	// service have crashed under it.
+	Watched(service snipeford.ServiceName, key snipeford.PrefixPart) bool
 	// ReportDirectives reports what an upstream asks in a response.
 	ReportDirectives(report snipeford.DirectivesReport)
 }
@@ -202,6 +205,10 @@
 	// lastResponse is the response of the last upstream that failed the request.
 	lastResponse *response
 	progress     progress
+	// watched is set while an attempt with a permit for a watched request runs, and
+	// suspected is the refusal of such a permit.
+	watched   bool
+	suspected *refusal
 }
 
 // ServeHTTP handles one request.
@@ -339,7 +346,7 @@
 	}
 	service := plan.Pick(c.route, rand.Float64())
 	c.Balancer.CountRequest(service)
-	c.key = snipeford.RequestKey(c.r.Host, c.r.RequestURI, c.org, c.body)
+	c.key = snipeford.RequestKey(c.route.Host, c.r.RequestURI, c.org, c.body)
 	if c.route.Kind == snipeford.RouteStream {
 		newStreamRequest(c, service).serve()
 		return
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -93,6 +93,9 @@
 	s.view = s.View()
 	if s.view.Plan.Service(s.service).Engine == nil {
 		id, ok := s.pick(s.service)
+		if !ok && s.suspected != nil {
+			return snipeford.Placement{}, s.suspected
+		}
 		if !ok {
 			return snipeford.Placement{}, overloaded(s.retryAfterLimit(s.service))
 		}
@@ -104,11 +107,15 @@
 		FirstEventTarget: s.nextEventTarget(), EventGapTarget: s.route.EventGapTarget,
 		StreamIdleTimeout: s.route.StreamIdleTimeout(), FirstEventTimeout: s.route.StreamIdleTimeout() - s.idleTime(),
 		TimeLeft: s.placementTimeLeft(), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
-		PrefixParts: s.head.PrefixParts,
+		PrefixParts: s.crashKeys(),
 	})
 	if p.Refused && p.Cause != "" {
 		s.Log.Decided("prompt refused", s.head.RequestID, "By", by, "Cause", p.Cause, "Part", p.Part)
-		return p, &refusal{status: http.StatusServiceUnavailable, cause: p.Cause, retryAfter: p.RetryAfter, reason: "requests with part " + string(p.Part) + " of the prompt crashed engines"}
+		reason := "requests with part " + string(p.Part) + " of the prompt crashed engines"
+		if p.Part.IsRequest() {
+			reason = reasonSameRequest
+		}
+		return p, &refusal{status: http.StatusServiceUnavailable, cause: p.Cause, retryAfter: p.RetryAfter, reason: reason}
 	}
 	if p.Refused {
 		s.Log.Decided("no place", s.head.RequestID, "By", by, "PromptTokens", s.head.Prompt)
@@ -331,6 +338,7 @@
 func (s *streamRequest) reportEnd(p snipeford.Placement, failed bool, fault snipeford.UpstreamID) {
 	if s.view.Plan.Service(s.service).Engine == nil {
 		s.Balancer.Ended(p.Upstream, failed)
+		s.reportWatched(s.service, false, s.attemptStart)
 		return
 	}
 	s.Placer.ReportEnd(s.service, p.RequestID, snipeford.RequestEnd{Failed: failed, FaultUpstream: fault})
--- a/placement.go
+++ b/placement.go
@@ -31,8 +31,9 @@
 	AvoidHelpers bool `json:"Alone"`
 	// PrefixParts lists the parts of the prompt that other requests may share.
 	PrefixParts []PrefixPart `json:"Parts,omitempty"`
-	// Permit, if set, asks only for a permit to send the request to this upstream, which
-	// limits its requests. Its service has no engines.
+	// Permit, if set, asks only for a permit to send the request to this upstream of a
+	// service without engines: the upstream limits its requests, or the key of the request
+	// in PrefixParts is watched.
 	Permit UpstreamID `json:",omitempty"`
 	// Substitute is set if the entry node places the request in place of a home that
 	// did not reply.
@@ -87,6 +88,10 @@
 	FaultUpstream UpstreamID
 	// Completed is set if the response is complete.
 	Completed bool
+	// Keys are the watched keys of a request that had a permit, and Age is the time since
+	// it was sent.
+	Keys []PrefixPart  `json:",omitempty"`
+	Age  time.Duration `json:",omitempty"`
 }
 
 // UpstreamCrash reports that an engine ended while a request ran on it.
