--- a/cmd/standin/soak/caller.go
+++ b/cmd/standin/soak/caller.go
@@ -25,6 +25,8 @@
 	// whether one of them makes replicas crash.
 	parts    []standin.PromptPart
 	poisoned bool
+	// body is the body, or empty for one that only this request has.
+	body string
 }
 
 // encode returns the request as it is sent to a node.
@@ -33,7 +35,10 @@
 	if q.work != (standin.Work{}) {
 		url += "?" + q.work.Query()
 	}
-	body := bytes.Repeat([]byte(q.id+" "), bodyBytes/(len(q.id)+1)+1)[:bodyBytes]
+	body := []byte(q.body)
+	if q.body == "" {
+		body = bytes.Repeat([]byte(q.id+" "), bodyBytes/(len(q.id)+1)+1)[:bodyBytes]
+	}
 	req, err := http.NewRequest(http.MethodPost, url, io.NopCloser(bytes.NewReader(body)))
 	if err != nil {
 		return nil, fmt.Errorf("encode request %s: %w", q.id, err)
@@ -44,7 +49,7 @@
 	return req, nil
 }
 
-// bodyBytes is the length of a request's body, which repeats the request's id: requests
+// bodyBytes is the length of a request's own body, which repeats the request's id: requests
 // with the same body are the same to nodes.
 const bodyBytes = 200
 
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -91,7 +91,7 @@
 func startFleet(p Plan) (*fleet, error) {
 	clock := &timer.Clock{}
 	f := &fleet{plan: p, clock: clock, store: &standin.Store{Clock: clock}, requestLog: &standin.RequestLog{}}
-	f.poison = newPoison(p.Seed)
+	f.poison = newPoison(p)
 	f.context, f.cancel = context.WithCancel(context.Background())
 	// All random generators use the run's seed, each with its own PCG stream: 2 for
 	// the faults of replicas, from 10 for injectFaults and from 100 for clients.
--- a/cmd/standin/soak/poison.go
+++ b/cmd/standin/soak/poison.go
@@ -16,8 +16,10 @@
 	// calmTime is how long after a signal or a start a node may lack what the others
 	// know.
 	calmTime = 3 * time.Second
-	// crashLimit is the number of crashes after which a part must be known.
-	crashLimit = 5
+	// crashLimit is the number of crashes after which a part must be known, and
+	// requestCrashLimit the one after which a request must be.
+	crashLimit        = 5
+	requestCrashLimit = 3
 	// maxLateArrivals is the maximum number of requests with the part that reach
 	// replicas later than calmTime after the last crash of crashLimit.
 	maxLateArrivals = 3
@@ -31,16 +33,33 @@
 	minSample = 20
 )
 
-// poison is a prompt part on which replicas crash.
+// poison is a prompt part, or the body of a request, on which replicas crash.
 type poison struct {
-	part    standin.PromptPart
-	mu      sync.Mutex
-	began   snipeford.Instant
-	crashes []snipeford.Instant
+	part standin.PromptPart
+	body string
+	// crashLimit is the number of crashes after which it must be known.
+	crashLimit int
+	mu         sync.Mutex
+	began      snipeford.Instant
+	crashes    []snipeford.Instant
 }
 
-func newPoison(seed uint64) *poison {
-	return &poison{part: standin.NamedPart(fmt.Sprintf("bad %d", seed), sharedTokens)}
+func newPoison(p Plan) *poison {
+	name := fmt.Sprintf("bad %d", p.Seed)
+	if p.Variant == Request {
+		return &poison{body: name, crashLimit: requestCrashLimit}
+	}
+	return &poison{part: standin.NamedPart(name, sharedTokens), crashLimit: crashLimit}
+}
+
+// infect makes a replica crash on the part or the body.
+func (p *poison) infect(r *standin.Replica) {
+	if p.body != "" {
+		r.CrashBody = p.body
+		return
+	}
+	r.CrashParts = &standin.PartSet{}
+	r.CrashParts.Add(p.part)
 }
 
 // sharedTokens is the size of the prompt parts that several requests share.
@@ -87,6 +106,47 @@
 	})
 }
 
+const (
+	// popularBodies is the number of bodies that sound requests share, and
+	// popularPercent the share of the requests with one of them.
+	popularBodies  = 10
+	popularPercent = 50
+	// poisonedPercent is the share of the client's requests with the bad body.
+	poisonedPercent = 50
+)
+
+// nextPlainRequest returns requests to plain services. Some of them have the bad body.
+func (f *fleet) nextPlainRequest(percent int) func(*rand.Rand, string) request {
+	return func(rng *rand.Rand, id string) request {
+		q := request{id: id, timeout: plainTimeout, route: []string{"safe", "unsafe"}[rng.IntN(2)], parts: sessionParts(0)}
+		switch {
+		case rng.IntN(100) < percent:
+			// Only one path is that of the bad request.
+			q.route, q.body, q.poisoned = "safe", f.poison.body, true
+		case rng.IntN(100) < popularPercent:
+			q.body = fmt.Sprint("popular ", rng.IntN(popularBodies))
+		}
+		return q
+	}
+}
+
+// runRequestClient runs a client of a run with a bad request. One client in four sends
+// it, from some seconds after the start until ctx ends.
+func (f *fleet) runRequestClient(ctx context.Context, number int, r *Report) {
+	if number%4 != 0 {
+		f.runCaller(ctx, number, r, f.nextPlainRequest(0))
+		return
+	}
+	rng := rand.New(rand.NewPCG(f.plan.Seed, uint64(1000+number)))
+	sleepRandom(ctx, rng, 3000, 4000)
+	f.poison.begin(f.clock.Now())
+	next := f.nextPlainRequest(poisonedPercent)
+	f.runCaller(ctx, number, r, func(rng *rand.Rand, id string) request {
+		sleepRandom(ctx, rng, 50, 300)
+		return next(rng, id)
+	})
+}
+
 // begin records the time of the first request with the part.
 func (p *poison) begin(at snipeford.Instant) {
 	p.mu.Lock()
@@ -127,23 +187,23 @@
 	defer p.mu.Unlock()
 	late := p.lateArrivals(r.exchanges, f.requestLog.Get)
 	before, after := p.servedBefore(r.exchanges), p.servedAfter(r.exchanges)
-	r.addRemark("%d crashes, %d late requests with the bad part, others served: %v before, %v after", len(p.crashes), late, before, after)
+	r.addRemark("%d crashes, %d late bad requests, others served: %v before, %v after", len(p.crashes), late, before, after)
 	if late > maxLateArrivals {
-		r.addViolation("%d requests with the bad part reached replicas later than %v after crash %d, want at most %d", late, calmTime, crashLimit, maxLateArrivals)
+		r.addViolation("%d bad requests reached replicas later than %v after crash %d, want at most %d", late, calmTime, p.crashLimit, maxLateArrivals)
 	}
 	enough := before.sent >= minSample && after.sent >= minSample
 	if enough && after.share() < minServedShare*before.share() {
-		r.addViolation("%v of the requests without the bad part were served later than %v after crash %d, %v before", after, recoveryTime, min(crashLimit, len(p.crashes)), before)
+		r.addViolation("%v of the other requests were served later than %v after crash %d, %v before", after, recoveryTime, min(p.crashLimit, len(p.crashes)), before)
 	}
 }
 
 // lateArrivals counts the requests with the part that reached replicas although the
 // part must have been known, and whose node was calm.
 func (p *poison) lateArrivals(exchanges []exchange, record func(id string) standin.Record) int {
-	if len(p.crashes) < crashLimit {
+	if len(p.crashes) < p.crashLimit {
 		return 0
 	}
-	from := p.crashes[crashLimit-1].Add(calmTime)
+	from := p.crashes[p.crashLimit-1].Add(calmTime)
 	late := 0
 	for _, e := range exchanges {
 		if !e.poisoned {
@@ -178,7 +238,7 @@
 	if len(p.crashes) == 0 {
 		return served{}
 	}
-	from := p.crashes[min(crashLimit, len(p.crashes))-1].Add(recoveryTime)
+	from := p.crashes[min(p.crashLimit, len(p.crashes))-1].Add(recoveryTime)
 	return countServed(exchanges, func(sent snipeford.Instant) bool { return sent > from })
 }
 
--- a/cmd/standin/soak/poison_test.go
+++ b/cmd/standin/soak/poison_test.go
@@ -38,7 +38,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			p := &poison{crashes: crashesFrom(10, tt.crashes)}
+			p := &poison{crashLimit: crashLimit, crashes: crashesFrom(10, tt.crashes)}
 			record := func(string) standin.Record {
 				return standin.Record{Arrivals: []snipeford.Instant{at(9), at(tt.arrival)}}
 			}
@@ -62,7 +62,7 @@
 	}
 	for crashes, want := range map[int]served{5: {1, 1}, 4: {2, 1}, 0: {}} {
 		t.Run(fmt.Sprint(crashes), func(t *testing.T) {
-			p := &poison{began: at(9), crashes: crashesFrom(10, crashes)}
+			p := &poison{crashLimit: crashLimit, began: at(9), crashes: crashesFrom(10, crashes)}
 			if got, want := p.servedBefore(exchanges), (served{2, 1}); got != want {
 				t.Errorf("got %v before, want %v", got, want)
 			}
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -34,12 +34,15 @@
 	// Poison has planned work, and requests with a prompt part on which replicas
 	// crash.
 	Poison Variant = "poison"
+	// Request has planned work, and a request that comes again and on which replicas of
+	// the plain service crash.
+	Request Variant = "request"
 	// Limit has all kinds of faults, and replicas that state request limits.
 	Limit Variant = "limit"
 )
 
 // Variants lists the names of all variants.
-var Variants = []Variant{Mixed, Planned, Poison, Limit}
+var Variants = []Variant{Mixed, Planned, Poison, Request, Limit}
 
 const (
 	mixedReplicaFaultRate   = 0.04
@@ -59,7 +62,7 @@
 	switch v {
 	case Planned:
 		return plannedFaults, concurrentFaults
-	case Poison:
+	case Poison, Request:
 		// The checks judge only nodes that were not stopped shortly before.
 		return poisonFaults, 1
 	}
@@ -73,6 +76,8 @@
 		f.runCaller(ctx, number, r, nextPlannedRequest(number))
 	case Poison:
 		f.runPoisonClient(ctx, number, r)
+	case Request:
+		f.runRequestClient(ctx, number, r)
 	default:
 		f.runClient(ctx, number, r)
 	}
@@ -106,7 +111,7 @@
 	switch p.Variant {
 	case Planned:
 		f.checkCuts(r)
-	case Poison:
+	case Poison, Request:
 		f.checkPoison(r)
 	case Limit:
 		f.checkLimits(r)
--- a/cmd/standin/soak/upstreams.go
+++ b/cmd/standin/soak/upstreams.go
@@ -90,9 +90,8 @@
 		ID: id, Service: h.service, Domain: h.domain, Log: f.requestLog, Clock: f.clock,
 		NextFault: f.replicaFaults.next, UndelimitedPercent: undelimitedPercent,
 	}
-	if f.plan.Variant == Poison {
-		r.CrashParts = &standin.PartSet{}
-		r.CrashParts.Add(f.poison.part)
+	if f.plan.Variant == Poison || f.plan.Variant == Request {
+		f.poison.infect(r)
 		// A second request that crashes the replica waits for the reset, too.
 		var once sync.Once
 		r.Crash = func() { once.Do(func() { f.crash(h, r) }) }
