--- a/internal/emulate/relay/relay.go
+++ b/internal/emulate/relay/relay.go
@@ -38,6 +38,8 @@
 	stalled  map[Direction]bool
 	delay    time.Duration
 	restored chan struct{}
+	// blocked replaces the listener after BlockNew.
+	blocked *blockedListener
 }
 
 // Start listens on a loopback port and forwards connections to the target.
@@ -70,8 +72,17 @@
 	r.Reset()
 }
 
-// Listen ends the effect of Refuse.
+// RefuseNew makes the operating system refuse new connections until Listen. Open ones
+// stay.
+func (r *Relay) RefuseNew() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listener.Close()
+}
+
+// Listen ends the effect of Refuse, RefuseNew and BlockNew.
 func (r *Relay) Listen() error {
+	r.unblock()
 	listener, err := net.Listen("tcp", r.address)
 	if err != nil {
 		return fmt.Errorf("listen again: %w", trace.ConvertSystemError(err))
@@ -174,6 +185,7 @@
 	listener := r.listener
 	r.mu.Unlock()
 	listener.Close()
+	r.unblock()
 	r.Restore()
 	r.Disconnect()
 }
