Reach upstreams through other nodes while the own links are lost

Only the node that accepted a request could send it, and it tried one engine after another, each with the time-outs for a single lost engine. The class of fault is a partial partition that is taken for the failure of the other side.

Change: a connection to an upstream is opened directly or through another node, whichever is open first; package detour carries the bytes, package reach judges the links. All decisions stay at the entry node, so that at-most-once, streams, reservations and deadlines are as before. Refused connections count as the end of an upstream only if another node, or this node's other connections, confirm it.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -31,6 +31,9 @@
 	// weights the choice of the homes of services and of the nodes that forward rows
 	// of the store to others.
 	ProcessorShare float64 `json:"Weight"`
+	// OffersDetours is set if the node carries connections of other nodes to upstreams.
+	// Nodes of earlier versions do not.
+	OffersDetours bool `json:"Detours,omitempty"`
 }
 
 // Upstream is a registered upstream with the state that the directory keeps
--- a/internal/fleet/grant/frame.go
+++ b/internal/fleet/grant/frame.go
@@ -20,6 +20,7 @@
 	"snipeford"
 	"snipeford/internal/control/placer"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/fleet/detour"
 )
 
 // Frame is one message between two nodes. Exactly one field is set.
@@ -45,6 +46,8 @@
 	// Subscribe requests the rows that the peer has, and all later changes.
 	Subscribe *Subscribe `json:",omitempty"`
 	Rows      *Rows      `json:",omitempty"`
+	// Detour is the first and only frame of a connection that is to lead to an upstream.
+	Detour *detour.Request `json:",omitempty"`
 }
 
 // Subscribe requests rows. Known holds the versions of the collections that the sender
--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -15,6 +15,7 @@
 	"snipeford"
 	"snipeford/internal/control/placer"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/fleet/detour"
 	"snipeford/internal/operate/decision"
 )
 
@@ -30,6 +31,8 @@
 	// RoutingStatus returns the version and the staleness of the routing, and false
 	// if it was never known to be current.
 	RoutingStatus func() (snipeford.Version, time.Duration, bool)
+	// Detour serves a connection that is to lead to an upstream, until it is closed.
+	Detour func(ctx context.Context, c net.Conn, r detour.Request)
 	// Subscribe starts a subscription of another node.
 	Subscribe SubscribeFunc
 
@@ -66,12 +69,19 @@
 	stop := context.AfterFunc(ctx, fc.close)
 	defer stop()
 	defer fc.close()
-	decoder := json.NewDecoder(bufio.NewReader(c))
-	var first Frame
-	if err := decoder.Decode(&first); err != nil || first.Hello == nil {
+	reader := bufio.NewReader(c)
+	first, err := readFirstFrame(reader)
+	if first.Detour != nil && s.Detour != nil {
+		// The node sends nothing more before it has the reply, so that the reader holds
+		// no bytes for the upstream.
+		s.Detour(ctx, c, *first.Detour)
+		return
+	}
+	if err != nil || first.Hello == nil {
 		s.Log.Warn("first frame from peer is not a valid hello", errors.Join(errHello, err))
 		return
 	}
+	decoder := json.NewDecoder(reader)
 	node := first.Hello.Node
 	s.addPeer(node, fc)
 	for _, list := range s.watched.all() {
@@ -80,13 +90,26 @@
 	s.Log.Info("peer connected", "Peer", node, "Incarnation", first.Hello.Incarnation)
 	f := &feedWriter{conn: fc, frames: make(chan Frame, maxQueuedFrames)}
 	defer f.stop()
-	err := s.read(decoder, node, f)
+	err = s.read(decoder, node, f)
 	s.Log.Info("peer disconnected", "Peer", node, "Error", err)
 	if s.removePeer(node, fc) && s.Timer.Sleep(ctx, nodeLostTimeout) && !s.hasPeer(node) {
 		s.Loop.Send(placer.NodeLost{Node: node})
 	}
 }
 
+// readFirstFrame reads the line of the first frame, and nothing behind it.
+func readFirstFrame(reader *bufio.Reader) (Frame, error) {
+	line, err := reader.ReadSlice('\n')
+	if err != nil {
+		return Frame{}, fmt.Errorf("read first frame: %w", trace.ConvertSystemError(err))
+	}
+	var first Frame
+	if err := json.Unmarshal(line, &first); err != nil {
+		return Frame{}, fmt.Errorf("decode first frame: %w", trace.Wrap(err))
+	}
+	return first, nil
+}
+
 var errHello = errors.New("hello expected as first frame")
 
 func (s *Server) addPeer(node snipeford.NodeID, fc *frameConn) {
--- a/internal/operate/command/edge.go
+++ b/internal/operate/command/edge.go
@@ -17,6 +17,7 @@
 	"snipeford/internal/operate/metric"
 	"snipeford/internal/operate/settings"
 	"snipeford/internal/operate/span"
+	"snipeford/internal/upstream/connection"
 	"snipeford/platform"
 )
 
@@ -63,8 +64,10 @@
 	edgeMetrics := metric.NewEdge(registry)
 	client := &http.Client{Transport: &http.Transport{DisableCompression: true, MaxIdleConnsPerHost: maxIdlePerHost}}
 	store := &platform.Store{Address: s.Store, HTTP: client, OnCall: func(_ string, err error) { edgeMetrics.StoreCalled(err != nil) }}
-	n := edge.New(s, &timer.Clock{}, registry, spans, edge.Platform{
-		Feed: store, RowDecoder: platform.RowDecoder{}, HeaderCodec: platform.HeaderCodec{}, Reservations: &platform.Reservations{HTTP: client},
+	clock := &timer.Clock{}
+	pool := &connection.Pool{Timer: clock}
+	n := edge.New(s, clock, registry, spans, edge.Platform{
+		Feed: store, RowDecoder: platform.RowDecoder{}, HeaderCodec: platform.HeaderCodec{}, Pool: pool, Reservations: platform.NewReservations(pool),
 	})
 	if err := n.Run(ctx, os.Stdout); err != nil {
 		return fail(err)
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -25,6 +25,7 @@
 	"snipeford/internal/control/freshness"
 	"snipeford/internal/control/placer"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/fleet/detour"
 	"snipeford/internal/fleet/grant"
 	"snipeford/internal/operate/decision"
 	"snipeford/internal/operate/drain"
@@ -83,6 +84,9 @@
 	RowDecoder   snipeford.RowDecoder
 	HeaderCodec  snipeford.HeaderCodec
 	Reservations snipeford.Reservations
+	// Pool opens the connections to upstreams, those of Reservations as well. Nil means a
+	// pool of the node's own.
+	Pool *connection.Pool
 }
 
 // Node is a running snipeford process.
@@ -100,6 +104,7 @@
 	peerServer *grant.Server
 	relay      *relay.Server
 	pool       *connection.Pool
+	gate       detour.Gate
 	self       directory.Peer
 	platform   Platform
 	// quarantines holds the latest decisions on prefix parts that are not stored yet.
@@ -118,11 +123,13 @@
 	n := &Node{settings: s, timer: t, registry: registry, platform: platform, log: decision.New(s.Node, level, t), quarantines: make(chan []snipeford.Quarantine, 1)}
 	n.self = directory.Peer{
 		Node: s.Node, Incarnation: snipeford.Incarnation(t.Wall().Format(time.RFC3339Nano)),
-		Domain: s.FailureDomain, Address: s.PeerAddress, ProcessorShare: s.ProcessorShare,
+		Domain: s.FailureDomain, Address: s.PeerAddress, ProcessorShare: s.ProcessorShare, OffersDetours: true,
 	}
 	n.counts = metric.NewEdge(registry)
 	n.balancer = &balancer{timer: t, domain: s.FailureDomain, settings: s}
-	n.pool = &connection.Pool{Timer: t, OnOpen: func(string) { n.counts.ConnectionOpened() }}
+	if n.pool = platform.Pool; n.pool == nil {
+		n.pool = &connection.Pool{Timer: t}
+	}
 	n.loop = placer.New(s.Node, t)
 	n.peerClient = &grant.Client{Self: n.self, Loop: n.loop, Timer: t, Log: n.log, Staleness: n.staleness}
 	n.peerServer = &grant.Server{Loop: n.loop, Timer: t, Log: n.log, RoutingStatus: n.routingStatus}
@@ -136,6 +143,7 @@
 	n.follower.feederHealthy = n.peerClient.FeederHealthy
 	n.peerClient.ApplyRows, n.peerClient.ConfirmRows = n.follower.applyPeerRows, n.tracker.AdvanceTo
 	n.peerServer.Subscribe, n.peerClient.KnownVersions = n.follower.subscribe, n.follower.knownVersions
+	n.initDetours()
 	n.relay = &relay.Server{
 		Node: s.Node, Domain: s.FailureDomain, View: n.follower.current, Freshness: &n.tracker, Timer: t,
 		Pool: n.pool, Codec: platform.HeaderCodec, Placer: n.peerClient, Balancer: n.balancer, Reservations: platform.Reservations,
@@ -149,6 +157,7 @@
 
 func (n *Node) applyView(v *directory.View) {
 	n.loop.Send(placer.DirectoryChanged{View: v})
+	n.retainLinks(v)
 	n.balancer.setView(v)
 	n.peerClient.SetView(v)
 }
@@ -196,6 +205,7 @@
 	group.Go(func() error { return n.register(ctx) })
 	group.Go(func() error { return n.storeQuarantines(ctx) })
 	group.Go(func() error { return n.sweepPool(ctx) })
+	group.Go(func() error { return n.pool.Watch(ctx) })
 }
 
 func (n *Node) listen(ctx context.Context, group *errgroup.Group) error {
@@ -322,12 +332,13 @@
 	start := n.timer.Now()
 	n.log.Info("node leaves", "Active", n.relay.Active())
 	n.relay.Leave()
+	n.gate.Leave()
 	for ctx.Err() == nil {
 		waited := n.timer.Now().Sub(start)
 		if waited >= closeIdleAfter {
 			n.callerConns.CloseIdle(n.timer.Deadline(0))
 		}
-		if waited >= loadBalancerDelay && n.relay.Active() == 0 || waited >= n.settings.StopGrace-killMargin-lastResponseTime {
+		if waited >= loadBalancerDelay && n.relay.Active() == 0 && n.gate.Active() == 0 || waited >= n.settings.StopGrace-killMargin-lastResponseTime {
 			break
 		}
 		n.timer.Sleep(ctx, drain.PollInterval)
--- a/internal/operate/metric/edge.go
+++ b/internal/operate/metric/edge.go
@@ -79,6 +79,21 @@
 	e.count("Quarantine", "Decided")
 }
 
+// CutOffChanged counts that the node has lost its links to upstreams, or has them back.
+func (e *Edge) CutOffChanged(cutOff bool) {
+	if cutOff {
+		e.count("Upstreams", "Links", "Lost")
+		return
+	}
+	e.count("Upstreams", "Links", "Back")
+}
+
+// Detoured counts a request that was sent through another node.
+func (e *Edge) Detoured() { e.count("Upstreams", "Detours", "Used") }
+
+// DetourCarried counts a connection that the node carries for another node.
+func (e *Edge) DetourCarried() { e.count("Upstreams", "Detours", "Carried") }
+
 // StoreCalled counts a call to the users' platform's store.
 func (e *Edge) StoreCalled(failed bool) {
 	if failed {
--- a/internal/request/relay/ended.go
+++ b/internal/request/relay/ended.go
@@ -1,39 +1,58 @@
 package relay
 
 import (
+	"errors"
 	"time"
 
 	"snipeford"
 	"snipeford/internal/upstream/connection"
 )
 
-// hasEnded reports whether the VM of an upstream refuses connections to it, and logs what
-// the request may have made it crash with.
-func (c *requestState) hasEnded(service snipeford.ServiceName, id snipeford.UpstreamID, decodeTime time.Duration) bool {
+// examine tells why an attempt ended without a complete response, and logs what the
+// request may have made an upstream crash with.
+func (c *requestState) examine(service snipeford.ServiceName, id snipeford.UpstreamID, err error, decodeTime time.Duration) connection.Verdict {
 	u, ok := c.findUpstream(service, id)
-	if !ok || c.ctx.Err() != nil || !c.Pool.Refuses(c.ctx, u.Address) {
-		return false
+	switch {
+	case errors.Is(err, connection.ErrLinkLost):
+		return connection.VerdictLinkLost
+	case !ok || c.ctx.Err() != nil:
+		return connection.VerdictUnknown
 	}
-	c.Metrics.EngineEnded()
-	c.Log.Decided("engine ended", c.head.RequestID, "Upstream", id, "DecodeMs", decodeTime.Milliseconds(), "PrefixParts", c.crashKeys())
-	return true
+	verdict := c.Pool.Examine(c.ctx, u.Address)
+	if verdict == connection.VerdictEnded {
+		c.Metrics.EngineEnded()
+		c.Log.Decided("engine ended", c.head.RequestID, "Upstream", id, "DecodeMs", decodeTime.Milliseconds(), "PrefixParts", c.crashKeys())
+	}
+	return verdict
 }
 
-// checkCrash reports an attempt at a plain service without a complete response if its
-// upstream has ended.
-func (c *requestState) checkCrash(service snipeford.ServiceName, id snipeford.UpstreamID, sentAt snipeford.Instant) {
-	if c.hasEnded(service, id, 0) {
+// checkCrash tells why an attempt at a plain service ended without a complete response,
+// and reports an upstream that has ended.
+func (c *requestState) checkCrash(service snipeford.ServiceName, id snipeford.UpstreamID, err error, sentAt snipeford.Instant) connection.Verdict {
+	verdict := c.examine(service, id, err, 0)
+	if verdict == connection.VerdictEnded {
 		c.Placer.ReportCrash(snipeford.UpstreamCrash{Service: service, Upstream: id, PrefixParts: []snipeford.PrefixPart{c.key}, Age: c.Timer.Now().Sub(sentAt)})
 	}
+	return verdict
 }
 
-// checkEnded checks whether the engine of an attempt without a complete response has
-// ended, and reports it. A single broken response is no sign of that. The report comes
-// before the next attempt, so that the placer can refuse a prompt that crashes engines.
-func (s *streamRequest) checkEnded(p snipeford.Placement, decodeTime time.Duration) {
-	if !s.hasEnded(s.service, p.Upstream, decodeTime) {
-		return
+// endBroken reports the end of an attempt without a complete response. It does not count
+// against an engine to which only the link is lost. An engine that has ended is reported
+// before the next attempt, so that the placer can refuse a prompt that crashes engines; a
+// single broken response is no sign of that.
+func (s *streamRequest) endBroken(p snipeford.Placement, err error, decodeTime time.Duration) {
+	verdict := s.examine(s.service, p.Upstream, err, decodeTime)
+	linkLost := verdict == connection.VerdictLinkLost
+	s.reportEnd(p, s.ctx.Err() == nil && !linkLost, "")
+	if !linkLost {
+		s.exclude(p, "")
+	}
+	if verdict == connection.VerdictEnded {
+		s.reportEngineEnded(p, decodeTime)
 	}
+}
+
+func (s *streamRequest) reportEngineEnded(p snipeford.Placement, decodeTime time.Duration) {
 	keys := s.crashKeys()
 	if s.view.Plan.Service(s.service).Engine == nil {
 		keys = []snipeford.PrefixPart{s.key}
@@ -53,7 +72,7 @@
 		return
 	}
 	s.Placer.ReportEnd(s.service, p.RequestID, snipeford.RequestEnd{Completed: x.SelfDelimited && decodeTime > 0})
-	if !x.SelfDelimited {
-		s.checkEnded(p, decodeTime)
+	if !x.SelfDelimited && s.examine(s.service, p.Upstream, nil, decodeTime) == connection.VerdictEnded {
+		s.reportEngineEnded(p, decodeTime)
 	}
 }
--- a/internal/request/relay/events.go
+++ b/internal/request/relay/events.go
@@ -1,7 +1,9 @@
 package relay
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -14,7 +16,7 @@
 
 // relayEvents passes on complete events until the stream ends, and calls onProgress
 // for each that has data. It returns false if the stream breaks before its end.
-func (s *streamRequest) relayEvents(p snipeford.Placement, x *connection.Exchange, onProgress func()) bool {
+func (s *streamRequest) relayEvents(ctx context.Context, p snipeford.Placement, x *connection.Exchange, onProgress func()) bool {
 	events := event.NewReader(x)
 	firstEventAt := snipeford.Instant(0)
 	for {
@@ -27,11 +29,9 @@
 			return s.complete(x)
 		}
 		if err != nil {
-			s.reportEnd(p, s.ctx.Err() == nil, "")
-			s.exclude(p, "")
 			s.truncated = s.truncated || errors.Is(err, event.ErrTruncated)
 			s.Log.Decided("stream broke", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Events", s.eventCount, "LastEvent", s.lastEventID, "PrefixParts", s.head.PrefixParts)
-			s.checkEnded(p, s.decodeTime(firstEventAt))
+			s.endBroken(p, withCause(ctx, err), s.decodeTime(firstEventAt))
 			return false
 		}
 		if e.HasData {
@@ -51,6 +51,14 @@
 	}
 }
 
+// withCause wraps err with the cause of an attempt's context if that has ended.
+func withCause(ctx context.Context, err error) error {
+	if ctx.Err() != nil {
+		return fmt.Errorf("%w: %w", context.Cause(ctx), err)
+	}
+	return err
+}
+
 // errNoEvents means that a stream ended right after its header.
 var errNoEvents = errors.New("stream ended before its first event")
 
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -39,6 +39,10 @@
 		if c.finishIfDone() {
 			return
 		}
+		if c.Pool.NoWay() {
+			c.unreachable = true
+			break
+		}
 		id, ok := c.pick(service)
 		if !ok {
 			break
@@ -52,7 +56,9 @@
 		if c.handleResponse(service, resp, err) {
 			return
 		}
-		c.excluded = append(c.excluded, id)
+		if !errors.Is(err, connection.ErrLinkLost) {
+			c.excluded = append(c.excluded, id)
+		}
 	}
 	c.finishPlain(service)
 }
@@ -72,26 +78,27 @@
 		return nil, fmt.Errorf("%w: %s", errUnknownUpstream, id)
 	}
 	sentAt := c.Timer.Now()
-	x, err := c.Pool.Do(traced, u.Address, c.upstreamRequest(snipeford.AttemptHeader{Upstream: id}), c.Codec)
+	mayFailOver := c.route.Idempotent() && c.possibleRuns+1 < c.route.MaxAttempts
+	x, err := c.Pool.Do(traced, u.Address, c.upstreamRequest(snipeford.AttemptHeader{Upstream: id}, mayFailOver), c.Codec)
 	if err != nil {
 		var f *connection.ExchangeError
+		verdict := connection.VerdictUnknown
 		if errors.As(err, &f) && f.Sent {
 			c.possibleRuns++
 			c.possibleReceipts++
-			c.checkCrash(service, id, sentAt)
+			verdict = c.checkCrash(service, id, err, sentAt)
 		}
 		c.reportWatched(service, false, sentAt)
-		// If the context has ended, the caller disconnected or the deadline passed,
-		// which is not a fault of the upstream.
-		c.Balancer.Ended(id, c.ctx.Err() == nil)
-		return nil, err
+		return nil, c.endFailed(id, verdict, err)
 	}
 	defer x.Close()
+	c.logThrough(id, x)
 	c.reportDirectives(service, id, false, x, sentAt)
 	c.possibleReceipts++
 	resp, err := readPlainResponse(x)
+	verdict := connection.VerdictUnknown
 	if err != nil && !errors.Is(err, errNeverPassedOn) && !errors.Is(err, errResponseTooLong) {
-		c.checkCrash(service, id, sentAt)
+		verdict = c.checkCrash(service, id, err, sentAt)
 	}
 	c.reportWatched(service, err == nil && !x.Decoded.NotRun, sentAt)
 	if x.Decoded.HasLoad {
@@ -100,8 +107,31 @@
 	if !x.Decoded.NotRun {
 		c.possibleRuns++
 	}
-	c.Balancer.Ended(id, (err != nil || x.Decoded.NotRun) && c.ctx.Err() == nil)
-	return resp, err
+	if err != nil {
+		return nil, c.endFailed(id, verdict, err)
+	}
+	c.Balancer.Ended(id, x.Decoded.NotRun && c.ctx.Err() == nil)
+	return resp, nil
+}
+
+// endFailed reports an attempt without a complete response to the balancer, and returns
+// its error. If the context has ended, the caller disconnected or the deadline passed,
+// which is no fault of the upstream, nor is a link that is lost.
+func (c *requestState) endFailed(id snipeford.UpstreamID, verdict connection.Verdict, err error) error {
+	linkLost := verdict == connection.VerdictLinkLost
+	c.Balancer.Ended(id, c.ctx.Err() == nil && !linkLost)
+	if linkLost && !errors.Is(err, connection.ErrLinkLost) {
+		return fmt.Errorf("%w: %w", connection.ErrLinkLost, err)
+	}
+	return err
+}
+
+// logThrough logs the node that an attempt's connection leads through.
+func (c *requestState) logThrough(id snipeford.UpstreamID, x *connection.Exchange) {
+	if x.Through != "" {
+		c.Metrics.Detoured()
+		c.Log.Decided("sent through another node", c.head.RequestID, "Upstream", id, "Through", x.Through)
+	}
 }
 
 // readPlainResponse reads a response, unless only its header is needed. A body that
@@ -175,6 +205,8 @@
 		c.writeResponse(c.lastResponse)
 	case c.possibleRuns > 0:
 		c.refuse(upstreamFailed("no upstream answered"))
+	case c.unreachable:
+		c.refuse(noWay())
 	case c.suspected != nil:
 		c.refuse(c.suspected)
 	default:
--- a/internal/request/relay/relay_test.go
+++ b/internal/request/relay/relay_test.go
@@ -108,6 +108,8 @@
 func (b *stubBalancer) HeldBack(*directory.View, snipeford.ServiceName) time.Duration { return 0 }
 func (b *stubBalancer) EngineEnded()                                                  {}
 
+func (b *stubBalancer) Detoured() {}
+
 // stubPlacer is a Placer that selects upstreams like stubBalancer.
 type stubPlacer struct{ *stubBalancer }
 
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -85,6 +85,8 @@
 	Retried(kind snipeford.RouteKind)
 	// EngineEnded records a request whose engine ended while it ran.
 	EngineEnded()
+	// Detoured records a request that was sent through another node.
+	Detoured()
 	// LimitChanged records an upstream that states a request limit, another one than
 	// before, or none any more.
 	LimitChanged(stated bool)
@@ -209,6 +211,8 @@
 	// suspected is the refusal of such a permit.
 	watched   bool
 	suspected *refusal
+	// unreachable is set if no upstream is reachable at all.
+	unreachable bool
 }
 
 // ServeHTTP handles one request.
@@ -367,12 +371,13 @@
 	return false
 }
 
-// upstreamRequest builds the request to an upstream.
-func (c *requestState) upstreamRequest(a snipeford.AttemptHeader) connection.Request {
+// upstreamRequest builds the request to an upstream. It is repeatable if it may be sent
+// again although the upstream may have run it.
+func (c *requestState) upstreamRequest(a snipeford.AttemptHeader, repeatable bool) connection.Request {
 	a.Organisation, a.TimeLeft = c.org, c.timeLeft()
 	c.progress.sent(c.Timer.Now())
 	return connection.Request{
 		ID: c.head.RequestID, Method: c.r.Method, Target: c.r.RequestURI, Host: c.r.Host,
-		Header: c.Codec.EncodeAttempt(c.r.Header, a), Body: c.body,
+		Header: c.Codec.EncodeAttempt(c.r.Header, a), Body: c.body, Repeatable: repeatable,
 	}
 }
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"snipeford"
@@ -68,6 +69,10 @@
 		if s.ctx.Err() != nil {
 			break
 		}
+		if s.Pool.NoWay() {
+			s.finish(noWay())
+			return
+		}
 		p, refused := s.place()
 		if refused != nil {
 			s.finish(refused)
@@ -177,7 +182,8 @@
 	defer cancel(nil)
 	eventWatchdog := s.watchFirstEvent(p, cancel)
 	defer func() { eventWatchdog.Stop() }()
-	reachabilityWatchdog := s.watchReachability(attemptCtx, p, cancel)
+	var through atomic.Pointer[snipeford.NodeID]
+	reachabilityWatchdog := s.watchReachability(attemptCtx, p, &through, cancel)
 	defer reachabilityWatchdog.Stop()
 	x, err := s.send(attemptCtx, p, cancel)
 	if s.reserved != nil {
@@ -187,6 +193,8 @@
 		return s.handleNoResponse(p, err)
 	}
 	defer x.Close()
+	through.Store(&x.Through)
+	s.logThrough(p.Upstream, x)
 	s.reportDirectives(s.service, p.Upstream, p.Limited, x, s.attemptStart)
 	s.possibleReceipts++
 	switch {
@@ -203,7 +211,7 @@
 		return s.handleErrorResponse(p, x)
 	}
 	s.possibleRuns++
-	return s.relayEvents(p, x, func() {
+	return s.relayEvents(attemptCtx, p, x, func() {
 		reachabilityWatchdog.Reset()
 		eventWatchdog.Stop()
 		eventWatchdog = s.watchNextEvent(s.failoverTimeout(), cancel)
@@ -231,7 +239,7 @@
 			head.Helpers = append(head.Helpers, snipeford.Helper{Address: u.Address})
 		}
 	}
-	return s.Pool.Do(ctx, engines[0].Address, s.upstreamRequest(head), s.Codec)
+	return s.Pool.Do(ctx, engines[0].Address, s.upstreamRequest(head, s.mayFailOver()), s.Codec)
 }
 
 // engines returns the placed upstream and its helpers.
@@ -279,13 +287,14 @@
 	// of the placed upstream, so the attempt does not count as failed. The upstream
 	// concerned is already excluded.
 	upstreamNotAtFault := errors.Is(err, snipeford.ErrConflict) || errors.Is(err, errUnknownUpstream)
-	s.reportEnd(p, s.ctx.Err() == nil && !upstreamNotAtFault, "")
-	if !upstreamNotAtFault {
-		s.exclude(p, "")
-	}
 	s.Log.Decided("upstream gave no answer", s.head.RequestID, "Upstream", p.Upstream, "Error", err, "Attempts", s.possibleRuns, "PrefixParts", s.head.PrefixParts)
 	if sent {
-		s.checkEnded(p, 0)
+		s.endBroken(p, err, 0)
+		return false
+	}
+	s.reportEnd(p, s.ctx.Err() == nil && !upstreamNotAtFault && !s.Pool.NoWay(), "")
+	if !upstreamNotAtFault {
+		s.exclude(p, "")
 	}
 	return false
 }
--- a/internal/request/relay/watch.go
+++ b/internal/request/relay/watch.go
@@ -8,6 +8,7 @@
 
 	"snipeford"
 	"snipeford/internal/control/timer"
+	"snipeford/internal/upstream/connection"
 )
 
 const (
@@ -45,19 +46,26 @@
 // times out the connection. Each event must reset the returned watchdog. If the
 // upstream is not known or the request cannot fail over, the watchdog does
 // nothing.
-func (s *streamRequest) watchReachability(ctx context.Context, p snipeford.Placement, cancel context.CancelCauseFunc) *timer.Watchdog {
+func (s *streamRequest) watchReachability(ctx context.Context, p snipeford.Placement, through *atomic.Pointer[snipeford.NodeID], cancel context.CancelCauseFunc) *timer.Watchdog {
 	u, ok := s.findUpstream(s.service, p.Upstream)
-	if !ok || !s.route.Resumable || s.possibleRuns+1 >= s.route.MaxAttempts {
+	if !ok || !s.mayFailOver() {
 		return s.Timer.StartWatchdog(s.timeLeft(), func() {})
 	}
 	var w atomic.Pointer[timer.Watchdog]
 	check := func() {
-		err := s.Pool.CheckReachable(ctx, u.Address, reachabilityCheckTimeout)
-		if err == nil {
-			w.Load().Reset()
-			return
+		var node snipeford.NodeID
+		if known := through.Load(); known != nil {
+			node = *known
 		}
-		if ctx.Err() == nil {
+		err := s.Pool.CheckReachable(ctx, u.Address, node, reachabilityCheckTimeout)
+		switch {
+		case err == nil:
+			w.Load().Reset()
+		case ctx.Err() != nil:
+		case errors.Is(err, connection.ErrLinkLost):
+			s.Log.Decided("link to engine is lost", s.head.RequestID, "Upstream", p.Upstream, "Through", node, "Error", err)
+			cancel(connection.ErrLinkLost)
+		default:
 			s.Log.Decided("engine is gone", s.head.RequestID, "Upstream", p.Upstream, "Error", err)
 			cancel(errUnreachable)
 		}
@@ -66,6 +74,12 @@
 	return w.Load()
 }
 
+// mayFailOver reports whether the request may be sent to another engine after the
+// attempt that is about to be made.
+func (s *streamRequest) mayFailOver() bool {
+	return s.route.Resumable && s.possibleRuns+1 < s.route.MaxAttempts
+}
+
 // errNoProgress is the cancellation cause of an attempt whose engine sent no event
 // in time or did not use its reserved memory.
 var errNoProgress = errors.New("engine makes no progress")
@@ -79,7 +93,7 @@
 // watchFirstEvent cancels the attempt if its first event does not arrive in time.
 func (s *streamRequest) watchFirstEvent(p snipeford.Placement, cancel context.CancelCauseFunc) *timer.Watchdog {
 	limit := s.timeLeft()
-	if s.route.Resumable && s.possibleRuns+1 < s.route.MaxAttempts {
+	if s.mayFailOver() {
 		limit = max(s.failoverTimeout()-s.idleTime(), minFirstEventTimeout, time.Duration(firstEventTolerance*float64(p.ExpectedFirstEvent)))
 	}
 	return s.Timer.StartWatchdog(limit, func() { cancel(errNoProgress) })
--- /dev/null
+++ b/internal/upstream/connection/examine.go
@@ -0,0 +1,145 @@
+package connection
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"snipeford"
+	"snipeford/internal/policy/reach"
+)
+
+// CheckReachable returns nil if an upstream accepts connections over the link of an
+// exchange: directly, or through another node. It tries twice, each time for at most
+// timeout, because a single lost packet does not mean that the upstream is unreachable.
+// The error is ErrLinkLost if the upstream is reachable, but over another link.
+func (p *Pool) CheckReachable(ctx context.Context, address string, through snipeford.NodeID, timeout time.Duration) error {
+	if through != "" {
+		return p.checkDetour(ctx, address, through)
+	}
+	var direct *link
+	var err error
+	for range reachabilityTries {
+		if direct, err = p.openDirect(ctx, address, timeout); err == nil {
+			_ = direct.Close()
+			return nil
+		}
+	}
+	if p.reachedByDetour(ctx, address) == nil {
+		return ErrLinkLost
+	}
+	return fmt.Errorf("upstream does not accept connections: %w", err)
+}
+
+// reachabilityTries is how many times CheckReachable tries to connect directly.
+const reachabilityTries = 2
+
+func (p *Pool) checkDetour(ctx context.Context, address string, through snipeford.NodeID) error {
+	c, by, err := p.Detours.Open(ctx, address)
+	if err != nil {
+		return fmt.Errorf("upstream does not accept connections: %w", err)
+	}
+	// No data was sent, so an error of Close does not matter.
+	_ = c.Close()
+	if by != through {
+		return fmt.Errorf("%w: now through %s", ErrLinkLost, by)
+	}
+	return nil
+}
+
+// reachedByDetour returns nil if another node reaches an upstream that a direct
+// connection has not reached.
+func (p *Pool) reachedByDetour(ctx context.Context, address string) error {
+	if p.Detours == nil {
+		return snipeford.ErrNoDetour
+	}
+	c, _, err := p.Detours.Open(ctx, address)
+	if err != nil {
+		return err
+	}
+	_ = c.Close()
+	p.updateReach(func(now snipeford.Instant, s *reach.State) { s.Lost(now, address) })
+	return nil
+}
+
+// Verdict tells why an exchange ended without a complete response.
+type Verdict int
+
+const (
+	// VerdictUnknown means that the upstream accepts connections or does not respond.
+	VerdictUnknown Verdict = iota
+	// VerdictEnded means that the upstream has ended, whereas its VM has not.
+	VerdictEnded
+	// VerdictLinkLost means that only the link of this node is lost.
+	VerdictLinkLost
+)
+
+// Examine tells whether an upstream has ended: its VM refuses connections, from this node
+// and from another one. It tries a second time after endedRetryDelay, because a process
+// that ends may close its listener last.
+func (p *Pool) Examine(ctx context.Context, address string) Verdict {
+	for try := range reachabilityTries {
+		if try > 0 && !p.Timer.Sleep(ctx, endedRetryDelay) {
+			return VerdictUnknown
+		}
+		l, err := p.openDirect(ctx, address, endedCheckTimeout)
+		if err != nil {
+			return p.examineFailure(ctx, address, isRefused(err))
+		}
+		// No data was sent, so an error of Close does not matter.
+		_ = l.Close()
+	}
+	return VerdictUnknown
+}
+
+func (p *Pool) examineFailure(ctx context.Context, address string, refused bool) Verdict {
+	err := p.reachedByDetour(ctx, address)
+	switch {
+	case err == nil:
+		return VerdictLinkLost
+	case !refused:
+		return VerdictUnknown
+	case errors.Is(err, snipeford.ErrUpstreamRefuses):
+		return VerdictEnded
+	case p.ConfirmsRefusal(ctx, address):
+		return VerdictEnded
+	}
+	return VerdictUnknown
+}
+
+const (
+	// endedCheckTimeout limits one attempt of Examine. A VM refuses a connection within
+	// a network round trip.
+	endedCheckTimeout = 100 * time.Millisecond
+	endedRetryDelay   = 20 * time.Millisecond
+	// confirmedTime is how long ago this node may have reached an upstream for its view
+	// of another one to count.
+	confirmedTime = 500 * time.Millisecond
+	// maxConfirmations is the number of upstreams that are tried otherwise.
+	maxConfirmations = 3
+)
+
+// ConfirmsRefusal reports whether a refused connection shows that the upstream has ended:
+// this node reaches other upstreams. Links that are cut may refuse connections, too.
+func (p *Pool) ConfirmsRefusal(ctx context.Context, address string) bool {
+	p.mu.Lock()
+	reached := p.links.reach.ReachedWithin(p.Timer.Now(), confirmedTime)
+	p.mu.Unlock()
+	others := p.known()
+	if reached || len(others) == 0 {
+		return true
+	}
+	tries := 0
+	for _, other := range others {
+		if other == address || tries >= maxConfirmations {
+			continue
+		}
+		tries++
+		if l, err := p.openDirect(ctx, other, endedCheckTimeout); err == nil {
+			p.put(newConn(l, other), 0)
+			return true
+		}
+	}
+	return tries == 0
+}
--- a/internal/upstream/connection/exchange.go
+++ b/internal/upstream/connection/exchange.go
@@ -23,6 +23,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Repeatable is set if the request may be sent again although an upstream may have
+	// run it.
+	Repeatable bool
 }
 
 // ExchangeError is the error of an exchange. If Sent is set, bytes of the request
@@ -45,6 +48,9 @@
 	// ErrHeadTooLong means that a status line and header exceed maxHeadBytes.
 	ErrHeadTooLong = errors.New("header of the response is too long")
 	errBodyTooLong = errors.New("body is too long")
+	// ErrLinkLost means that the node has lost its link to the upstream, which other
+	// nodes still reach. It is no fault of the upstream.
+	ErrLinkLost = errors.New("link to upstream is lost")
 )
 
 const (
@@ -66,34 +72,46 @@
 	// SelfDelimited reports whether the response has a known length or a
 	// Transfer-Encoding. Other responses end when the connection closes.
 	SelfDelimited bool
-	pool          *Pool
-	conn          *conn
-	response      *http.Response
-	stop          func() bool
-	complete      bool
+	// Through is the node that the connection leads through, or empty if it is direct.
+	Through  snipeford.NodeID
+	pool     *Pool
+	conn     *conn
+	response *http.Response
+	stop     func() bool
+	complete bool
 }
 
 // Do sends the request and reads the status and header of its response. Until
 // Close, the end of the context closes the connection. Errors have the type
 // *ExchangeError.
 func (p *Pool) Do(ctx context.Context, address string, r Request, codec snipeford.HeaderCodec) (*Exchange, error) {
-	c, err := p.get(ctx, address, r.ID)
+	c, err := p.get(ctx, address, r)
 	if err != nil {
 		return nil, &ExchangeError{Err: err}
 	}
 	c.lastRequest = r.ID
-	x := &Exchange{pool: p, conn: c, stop: context.AfterFunc(ctx, c.close)}
+	p.begin(c.link, r.Repeatable)
+	x := &Exchange{Through: c.through, pool: p, conn: c, stop: context.AfterFunc(ctx, c.close)}
 	if written, err := c.write(r); err != nil {
 		x.Close()
-		return nil, &ExchangeError{Sent: written > 0, Err: fmt.Errorf("send request: %w", withContextCause(ctx, err))}
+		return nil, &ExchangeError{Sent: written > 0, Err: fmt.Errorf("send request: %w", c.withCause(ctx, err))}
 	}
 	if err := x.readResponse(r, codec); err != nil {
 		x.Close()
-		return nil, &ExchangeError{Sent: true, Err: withContextCause(ctx, err)}
+		return nil, &ExchangeError{Sent: true, Err: c.withCause(ctx, err)}
 	}
 	return x, nil
 }
 
+// withCause wraps err with ErrLinkLost if the connection was closed because of that,
+// and with the cause of the context if the context has ended.
+func (c *conn) withCause(ctx context.Context, err error) error {
+	if c.isLost() {
+		err = fmt.Errorf("%w: %w", ErrLinkLost, err)
+	}
+	return withContextCause(ctx, err)
+}
+
 // withContextCause wraps err with the cause of the context if the context has
 // ended, because its end closes the connection.
 func withContextCause(ctx context.Context, err error) error {
@@ -191,6 +209,8 @@
 	n, err := x.response.Body.Read(p)
 	if err == io.EOF {
 		x.complete = true
+	} else if err != nil && x.conn.isLost() {
+		err = fmt.Errorf("%w: %w", ErrLinkLost, err)
 	}
 	return n, err
 }
@@ -199,7 +219,8 @@
 // was read to its end and no more bytes followed it.
 func (x *Exchange) Close() {
 	open := x.stop()
-	if open && x.complete && !x.Decoded.Closing && x.conn.reader.Buffered() == 0 {
+	x.pool.end(x.conn.link)
+	if open && x.Through == "" && x.complete && !x.Decoded.Closing && x.conn.reader.Buffered() == 0 {
 		x.pool.put(x.conn, x.Decoded.IdleTimeout)
 		return
 	}
--- a/internal/upstream/connection/pool.go
+++ b/internal/upstream/connection/pool.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -41,18 +40,30 @@
 	readBufferSize = 4 << 10
 )
 
-// Pool keeps idle connections. Timer must be set; the other fields may be zero.
+// Pool keeps idle connections, and opens new ones directly or through another node.
+// Timer must be set; the other fields may be zero.
 type Pool struct {
 	Timer *timer.Clock
 	// OnOpen, if not nil, is called for each new connection.
 	OnOpen func(address string)
-	mu     sync.Mutex
-	idle   map[string][]*conn
+	// Detours opens connections through other nodes. Nil means that all connections are
+	// direct.
+	Detours snipeford.Detours
+	// Known returns the addresses of the upstreams, for probes.
+	Known func() []string
+	// OnCutOff, if not nil, is called when the node has lost its links to upstreams that
+	// other nodes reach, and when it has them back. lost is the number of upstreams that
+	// were found to be lost.
+	OnCutOff func(cutOff bool, lost int)
+
+	mu    sync.Mutex
+	idle  map[string][]*conn
+	links links
 }
 
 // conn is one connection. It carries at most one request at a time.
 type conn struct {
-	net.Conn
+	*link
 	head    *headReader
 	reader  *bufio.Reader
 	address string
@@ -65,13 +76,17 @@
 // get returns an idle connection that is still reusable, or opens a new one. A
 // request that is sent again needs another connection than before: a second
 // response to its first attempt could not be told from that to the new one.
-func (p *Pool) get(ctx context.Context, address string, id snipeford.RequestID) (*conn, error) {
+//
+// A connection that leads into a cut looks open. A request that must not be sent again
+// gets a new connection while direct connections fail.
+func (p *Pool) get(ctx context.Context, address string, r Request) (*conn, error) {
+	usesIdle := p.usesIdle(address, r.Repeatable)
 	for {
 		c := p.pop(address)
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if p.Timer.Now() < c.expires && c.lastRequest != id && isReusable(c.Conn) {
+		if usesIdle && p.Timer.Now() < c.expires && c.lastRequest != r.ID && isReusable(c.Conn) {
 			c.reused = true
 			return c, nil
 		}
@@ -91,65 +106,33 @@
 	return c
 }
 
-// CheckReachable returns nil if an upstream accepts connections. It tries twice,
-// each time for at most timeout, because a single lost packet does not mean that
-// the upstream is unreachable.
-func (p *Pool) CheckReachable(ctx context.Context, address string, timeout time.Duration) error {
-	var err error
-	for range reachabilityTries {
-		dialer := net.Dialer{Timeout: timeout}
-		var raw net.Conn
-		if raw, err = dialer.DialContext(ctx, "tcp4", address); err == nil {
-			// No data was sent, so an error of Close does not matter.
-			_ = raw.Close()
-			return nil
-		}
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	l, err := p.open(ctx, address)
+	if err != nil {
+		return nil, fmt.Errorf("connect to upstream: %w", err)
 	}
-	return fmt.Errorf("upstream does not accept connections: %w", trace.ConvertSystemError(err))
-}
-
-// Refuses reports whether the upstream's VM refuses connections to its address: the
-// upstream has ended, whereas its VM has not. It tries a second time after
-// endedRetryDelay, because a process that ends may close its listener last.
-func (p *Pool) Refuses(ctx context.Context, address string) bool {
-	for try := range reachabilityTries {
-		if try > 0 && !p.Timer.Sleep(ctx, endedRetryDelay) {
-			return false
-		}
-		dialer := net.Dialer{Timeout: endedCheckTimeout}
-		raw, err := dialer.DialContext(ctx, "tcp4", address)
-		if err != nil {
-			return errors.Is(err, unix.ECONNREFUSED)
-		}
-		// No data was sent, so an error of Close does not matter.
-		_ = raw.Close()
+	if p.OnOpen != nil {
+		p.OnOpen(address)
 	}
-	return false
+	return newConn(l, address), nil
 }
 
-const (
-	// endedCheckTimeout limits one attempt of Refuses. A VM refuses a connection
-	// within a network round trip.
-	endedCheckTimeout = 100 * time.Millisecond
-	endedRetryDelay   = 20 * time.Millisecond
-)
-
-// reachabilityTries is how many times CheckReachable tries to connect.
-const reachabilityTries = 2
+func newConn(l *link, address string) *conn {
+	head := &headReader{source: l}
+	return &conn{link: l, head: head, reader: bufio.NewReaderSize(head, readBufferSize), address: address}
+}
 
-func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
+// Dial opens a TCP connection that the kernel closes if the other side does not
+// acknowledge sent data or probes in time.
+func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
 		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
 	}}
-	raw, err := dialer.DialContext(ctx, "tcp4", address)
+	c, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
-		return nil, fmt.Errorf("connect to upstream: %w", trace.ConvertSystemError(err))
-	}
-	if p.OnOpen != nil {
-		p.OnOpen(address)
+		return nil, trace.ConvertSystemError(err)
 	}
-	head := &headReader{source: raw}
-	return &conn{Conn: raw, head: head, reader: bufio.NewReaderSize(head, readBufferSize), address: address}, nil
+	return c, nil
 }
 
 // setUserTimeout makes the kernel close a connection whose peer does not
@@ -171,11 +154,11 @@
 // isReusable reports whether an idle connection is open and has no bytes to
 // read. Bytes that arrive while no request is pending belong to no request.
 func isReusable(c net.Conn) bool {
-	tcp, ok := c.(*net.TCPConn)
+	sockets, ok := c.(syscall.Conn)
 	if !ok {
 		return false
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := sockets.SyscallConn()
 	if err != nil {
 		return false
 	}
@@ -230,4 +213,4 @@
 }
 
 // close closes the connection. Errors are ignored, as it is not used again.
-func (c *conn) close() { _ = c.Conn.Close() }
+func (c *conn) close() { _ = c.link.Close() }
--- a/internal/upstream/connection/refuses_test.go
+++ b/internal/upstream/connection/refuses_test.go
@@ -10,7 +10,7 @@
 	"snipeford/internal/upstream/connection"
 )
 
-func TestRefuses(t *testing.T) {
+func TestExamine(t *testing.T) {
 	pool := &connection.Pool{Timer: &timer.Clock{}}
 	t.Run("an upstream that has ended", func(t *testing.T) {
 		listener, err := net.Listen("tcp4", "127.0.0.1:0")
@@ -21,14 +21,14 @@
 		if err := listener.Close(); err != nil {
 			t.Fatal(err)
 		}
-		if !pool.Refuses(context.Background(), address) {
-			t.Error("got false, want true: nothing listens there")
+		if got := pool.Examine(context.Background(), address); got != connection.VerdictEnded {
+			t.Errorf("got verdict %v, want %v: nothing listens there", got, connection.VerdictEnded)
 		}
 	})
 	t.Run("an upstream that resets its responses", func(t *testing.T) {
 		address := startUpstream(t, func(c net.Conn, _ *http.Request, _ int64) { _ = c.Close() })
-		if pool.Refuses(context.Background(), address) {
-			t.Error("got true, want false: it accepts connections")
+		if got := pool.Examine(context.Background(), address); got != connection.VerdictUnknown {
+			t.Errorf("got verdict %v, want %v: it accepts connections", got, connection.VerdictUnknown)
 		}
 	})
 }
