Run the soak with nodes that lose their links to replicas

Variant cut: each node has its own link to each replica, and links of one node, of half of the nodes or of all are cut in five ways, in series that overlap, beside stops, kills, freezes, crashes of replicas, cuts of the store and new configurations. The same seed runs without cuts first. Checked: what nodes without links serve from 3 s after a cut against the others (the users' figures), what the others serve against the run without cuts (0.95 of it), requests refused as crashing, arrivals after a client's close, and the time until requests are refused while nothing helps.

--- a/cmd/standin/soak/caller.go
+++ b/cmd/standin/soak/caller.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,6 +28,8 @@
 	poisoned bool
 	// body is the body, or empty for one that only this request has.
 	body string
+	// leaveAfter is the time after which the client closes the connection, or zero.
+	leaveAfter time.Duration
 }
 
 // encode returns the request as it is sent to a node.
@@ -68,6 +71,11 @@
 	complete bool
 	// limited reports whether the response states a request limit of its replica.
 	limited bool
+	// cause is the cause of a refusal.
+	cause snipeford.Cause
+	// left is when the client closed the connection before the end of the response, or
+	// zero.
+	left snipeford.Instant
 }
 
 // caller is a client that sends one request after the other on one connection, until
@@ -128,7 +136,13 @@
 		return nil
 	}
 	e := exchange{request: q, node: c.node, sent: c.fleet.clock.Now()}
+	if q.leaveAfter > 0 {
+		defer time.AfterFunc(q.leaveAfter, func() { _ = connection.Close() }).Stop()
+	}
 	header := c.receive(req, &e)
+	if q.leaveAfter > 0 && !e.complete {
+		e.left = e.sent.Add(q.leaveAfter)
+	}
 	e.ended = c.fleet.clock.Now()
 	if ctx.Err() == nil {
 		c.report.addExchange(e)
@@ -147,6 +161,7 @@
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	c.report.checkResponse(e.request, resp, string(body), err)
+	e.cause = refusalCause(body)
 	if resp.Close || err != nil {
 		c.disconnect()
 	}
@@ -155,6 +170,15 @@
 	return resp.Header
 }
 
+// refusalCause returns the cause in the body of a refusal, or an empty one.
+func refusalCause(body []byte) snipeford.Cause {
+	var refusal struct{ Cause snipeford.Cause }
+	if json.Unmarshal(body, &refusal) != nil {
+		return ""
+	}
+	return refusal.Cause
+}
+
 // runCaller sends the requests that next returns until ctx ends.
 func (f *fleet) runCaller(ctx context.Context, number int, r *Report, next func(rng *rand.Rand, id string) request) {
 	c := &caller{fleet: f, report: r, rng: rand.New(rand.NewPCG(f.plan.Seed, uint64(100+number)))}
--- a/cmd/standin/soak/clients.go
+++ b/cmd/standin/soak/clients.go
@@ -29,7 +29,9 @@
 	// run a request twice.
 	mustNotRunIDs, atMostOnceIDs []string
 	exchanges                    []exchange
-	mu                           sync.Mutex
+	// cutCount holds the requests served beside cuts.
+	cutCount cutCount
+	mu       sync.Mutex
 }
 
 func (r *Report) addExchange(e exchange) {
--- /dev/null
+++ b/cmd/standin/soak/cut.go
@@ -0,0 +1,415 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"snipeford"
+	"snipeford/platform/standin"
+)
+
+const (
+	concurrentCutFaults = 3
+	// cutNoticeTime is the time from the start of a cut from which on the requests at
+	// its nodes are counted, too, for a stricter figure that is only printed.
+	cutNoticeTime = time.Second
+	// allowedCutFailures and allowedCutFailureShare are the failed requests at nodes
+	// without links that are no violation, the latter as a share of all requests.
+	allowedCutFailures     = 10
+	allowedCutFailureShare = 0.02
+	// minCutShare is the share of requests that nodes without links have to serve,
+	// relative to the others.
+	minCutShare = 2.0 / 3
+	// minUncutShare is the share that the other nodes have to serve, relative to the same
+	// seed without cuts.
+	minUncutShare = 0.95
+	// maxArrivalsAfterLeaving is the number of requests that may reach replicas later
+	// than leaveNoticeTime after their client has left.
+	maxArrivalsAfterLeaving = 3
+	leaveNoticeTime         = 500 * time.Millisecond
+	// maxRefusalTime is how long a request may be held before it is refused although no
+	// node reaches a replica.
+	maxRefusalTime = 1700 * time.Millisecond
+	// leavePercent is the share of the requests whose client leaves early.
+	leavePercent = 5
+)
+
+// cutFaults are the kinds of faults beside which links are cut. A seed selects them by
+// index.
+var cutFaults = []fault{
+	{"cut", func(ctx context.Context, f *fleet, rng *rand.Rand) { f.cutSome(ctx, rng, 4000, 9000) }},
+	{"short cut", func(ctx context.Context, f *fleet, rng *rand.Rand) { f.cutSome(ctx, rng, 200, 1500) }},
+	{"cut", func(ctx context.Context, f *fleet, rng *rand.Rand) { f.cutSome(ctx, rng, 4000, 9000) }},
+	{"stop", stopOne},
+	{"crash", crashOne},
+	{"cut series", func(ctx context.Context, f *fleet, rng *rand.Rand) {
+		for range 2 + rng.IntN(2) {
+			f.cutSome(ctx, rng, 500, 4000)
+			sleepRandom(ctx, rng, 20, 600)
+		}
+	}},
+	{"kill", func(ctx context.Context, f *fleet, rng *rand.Rand) {
+		n := f.randomNode(rng)
+		<-n.signal(syscall.SIGKILL)
+		sleepRandom(ctx, rng, 100, 900)
+		restart(f, n)
+	}},
+	{"freeze", func(ctx context.Context, f *fleet, rng *rand.Rand) {
+		n := f.randomNode(rng)
+		n.signal(syscall.SIGSTOP)
+		sleepRandom(ctx, rng, 200, 1500)
+		n.signal(syscall.SIGCONT)
+	}},
+	{"store cut", func(ctx context.Context, f *fleet, rng *rand.Rand) {
+		n := f.randomNode(rng)
+		n.storeRelay.Disconnect()
+		sleepRandom(ctx, rng, 300, 2000)
+		n.storeRelay.Restore()
+	}},
+	{"hang up", hangUp},
+	{"configuration", configure},
+}
+
+// crashOne makes a replica crash, whatever requests it runs.
+func crashOne(ctx context.Context, f *fleet, rng *rand.Rand) {
+	h := f.randomUpstream(rng)
+	if r, _ := h.current(); !r.Down.Load() {
+		f.crash(h, r)
+	}
+	sleepRandom(ctx, rng, 500, 2000)
+}
+
+// takeDown makes the VM of the replica reset and refuse all connections.
+func (h *upstreamHost) takeDown() {
+	h.relay.Refuse()
+	for _, l := range h.links {
+		// A failure leaves a link up, so that its node gets responses of no replica.
+		_ = l.SetDown(true)
+	}
+}
+
+// bringUp ends the effect of takeDown.
+func (h *upstreamHost) bringUp() error {
+	for _, l := range h.links {
+		if err := l.SetDown(false); err != nil {
+			return err
+		}
+	}
+	return h.relay.Listen()
+}
+
+// nodeDomain returns the failure domain of a node. In a run with cuts, each node has its
+// own: nodes of one domain pass the store's rows on to each other, and their links to
+// the replicas have different addresses.
+func (f *fleet) nodeDomain(i int) string {
+	if f.plan.Variant == CutOff {
+		return fmt.Sprint("d", i)
+	}
+	return failureDomain(i)
+}
+
+// startLinks starts the links of all nodes to a replica.
+func (f *fleet) startLinks(h *upstreamHost, target string) error {
+	for range f.plan.Nodes {
+		address, err := f.host.Address()
+		if err != nil {
+			return fmt.Errorf("choose address of link: %w", err)
+		}
+		l, err := standin.StartLink(address, target)
+		if err != nil {
+			return err
+		}
+		h.links = append(h.links, l)
+	}
+	return nil
+}
+
+// storeAddress returns the address of the store for a node. In a run with cuts, the store
+// shows each node the addresses of its links.
+func (f *fleet) storeAddress(i int, address string) (string, error) {
+	if f.plan.Variant != CutOff {
+		return address, nil
+	}
+	return f.serve(f.store.HandlerAsSeen(func(r standin.Row) standin.Row {
+		if r.Table != "servers" || r.Deleted {
+			return r
+		}
+		registered, err := standin.AddressIn(r.Value)
+		if err != nil {
+			return r
+		}
+		for _, h := range f.upstreams {
+			if h.relay.Address() != registered {
+				continue
+			}
+			if value, err := standin.WithAddress(r.Value, h.links[i].Address()); err == nil {
+				r.Value = value
+			}
+		}
+		return r
+	}))
+}
+
+// cut is a period in which a node has no links to replicas, or, if it is partial, to half
+// of them.
+type cut struct {
+	node        *node
+	kind        standin.Cut
+	partial     bool
+	from, until snipeford.Instant
+}
+
+// cutLog records cuts. Cuts of the same links can overlap; a link is whole when the last
+// of them is over.
+type cutLog struct {
+	mu    sync.Mutex
+	list  []cut
+	depth map[*standin.Link]int
+}
+
+// cutSome cuts the links of one node, of half of the nodes, or now and then of all, to
+// all replicas, or now and then to half of them, for a while.
+func (f *fleet) cutSome(ctx context.Context, rng *rand.Rand, minMilliseconds, maxMilliseconds int) {
+	count := 1
+	switch n := rng.IntN(10); {
+	case n == 0:
+		count = len(f.nodes)
+	case n < 6:
+		count = max(1, len(f.nodes)/2)
+	}
+	partial := rng.IntN(6) == 0
+	kind := standin.Cut(1 + rng.IntN(standin.CutKinds))
+	nodes := rng.Perm(len(f.nodes))[:count]
+	if f.plan.WithoutCuts {
+		kind = standin.NoCut
+	}
+	from := f.clock.Now()
+	links := f.linksOf(nodes, partial)
+	f.cuts.begin(links, kind)
+	sleepRandom(ctx, rng, minMilliseconds, maxMilliseconds)
+	f.cuts.end(links)
+	if kind == standin.NoCut {
+		return
+	}
+	f.cuts.mu.Lock()
+	defer f.cuts.mu.Unlock()
+	for _, i := range nodes {
+		f.cuts.list = append(f.cuts.list, cut{f.nodes[i], kind, partial, from, f.clock.Now()})
+	}
+}
+
+func (f *fleet) linksOf(nodes []int, partial bool) []*standin.Link {
+	var out []*standin.Link
+	for k, h := range f.upstreams {
+		for _, i := range nodes {
+			if !partial || k%2 == 0 {
+				out = append(out, h.links[i])
+			}
+		}
+	}
+	return out
+}
+
+func (c *cutLog) begin(links []*standin.Link, kind standin.Cut) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.depth == nil {
+		c.depth = map[*standin.Link]int{}
+	}
+	for _, l := range links {
+		c.depth[l]++
+		// A failure leaves the link whole, which makes the run easier for its node.
+		_ = l.SetCut(kind)
+	}
+}
+
+func (c *cutLog) end(links []*standin.Link) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range links {
+		if c.depth[l]--; c.depth[l] == 0 {
+			_ = l.SetCut(standin.NoCut)
+		}
+	}
+}
+
+// cutAt reports whether a node has been cut off at an instant since at least a time.
+func (c *cutLog) cutAt(n *node, at snipeford.Instant, since time.Duration) bool {
+	return c.contains(n, at, since, false)
+}
+
+// disturbedAt reports whether a node has lost links at an instant.
+func (c *cutLog) disturbedAt(n *node, at snipeford.Instant) bool {
+	return c.contains(n, at, 0, false) || c.contains(n, at, 0, true)
+}
+
+func (c *cutLog) contains(n *node, at snipeford.Instant, since time.Duration, partial bool) bool {
+	return slices.ContainsFunc(c.list, func(k cut) bool {
+		return k.node == n && k.partial == partial && k.from.Add(since) <= at && at < k.until
+	})
+}
+
+// describe lists the cuts for a report.
+func (f *fleet) describeCuts() string {
+	var out []string
+	for _, k := range f.cuts.list {
+		out = append(out, fmt.Sprintf("n%d %v%s %.1f-%.1f s", slices.Index(f.nodes, k.node), k.kind, map[bool]string{true: " (half)"}[k.partial], k.from.Seconds(), k.until.Seconds()))
+	}
+	return strings.Join(out, ", ")
+}
+
+// runCutClient runs a client of a run with cuts. Some requests are left early.
+func (f *fleet) runCutClient(ctx context.Context, number int, r *Report) {
+	f.runCaller(ctx, number, r, func(rng *rand.Rand, id string) request {
+		q := request{id: id, timeout: plainTimeout, parts: sessionParts(number % 4)}
+		q.route = []string{"safe", "unsafe", "once", "stream", "stream"}[rng.IntN(5)]
+		q.work.Delay = time.Duration(10+rng.IntN(60)) * time.Millisecond
+		if q.isStream() {
+			q.timeout = streamTimeout
+		}
+		if rng.IntN(100) < leavePercent {
+			q.leaveAfter = time.Duration(20+rng.IntN(200)) * time.Millisecond
+		}
+		sleepRandom(ctx, rng, 10, 120)
+		return q
+	})
+}
+
+// cutCount counts the requests at nodes without links, and at the others.
+type cutCount struct{ cut, others served }
+
+// countCut counts the requests that were sent at calm nodes later than a time after the
+// start of a cut, or while no cut of their node was going on. Nothing helps while all
+// nodes are cut off.
+func (f *fleet) countCut(r *Report, since time.Duration) cutCount {
+	var c cutCount
+	for _, e := range r.exchanges {
+		disturbances := e.node.disturbances()
+		if e.left > 0 || !isCalm(disturbances, e.sent) || isStopping(disturbances, e.sent) || f.noneReaches(e.sent, e.ended) {
+			continue
+		}
+		group := &c.others
+		switch {
+		case f.cuts.cutAt(e.node, e.sent, since):
+			group = &c.cut
+		case f.cuts.disturbedAt(e.node, e.sent) || f.cuts.disturbedAt(e.node, e.ended):
+			continue
+		}
+		group.sent++
+		if e.status == http.StatusOK && e.complete {
+			group.begun++
+		}
+	}
+	return c
+}
+
+// noneReaches reports whether at the beginning or the end of a period, or shortly before,
+// no node that had all its links was running.
+func (f *fleet) noneReaches(from, until snipeford.Instant) bool {
+	reaches := func(n *node, at snipeford.Instant) bool {
+		disturbances := n.disturbances()
+		return !f.cuts.disturbedAt(n, at) && isCalm(disturbances, at) && !isStopping(disturbances, at)
+	}
+	for _, at := range []snipeford.Instant{from.Add(-cutNoticeTime), from, until} {
+		if !slices.ContainsFunc(f.nodes, func(n *node) bool { return reaches(n, at) }) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkCutOff checks what nodes without links served, and what they did to others.
+func (f *fleet) checkCutOff(r *Report) {
+	f.cuts.mu.Lock()
+	defer f.cuts.mu.Unlock()
+	r.cutCount = f.countCut(r, calmTime)
+	soon := f.countCut(r, cutNoticeTime)
+	r.addRemark("served at nodes without links: %v, at the others: %v; from %v after a cut: %v", r.cutCount.cut, r.cutCount.others, cutNoticeTime, soon.cut)
+	failed := r.cutCount.cut.sent - r.cutCount.cut.begun
+	all := r.cutCount.cut.sent + r.cutCount.others.sent
+	if float64(failed) > allowedCutFailures+allowedCutFailureShare*float64(all) && r.cutCount.cut.share() < minCutShare*r.cutCount.others.share() {
+		r.addViolation("%v requests served at nodes without links, %v at the others", r.cutCount.cut, r.cutCount.others)
+	}
+	f.checkRefusals(r)
+	f.checkLeft(r)
+	if len(r.Violations) > 0 {
+		r.addRemark("cuts: %s", f.describeCuts())
+	}
+}
+
+// checkRefusals checks that no request is refused as one that crashes replicas, and that
+// requests are refused soon while nothing helps.
+func (f *fleet) checkRefusals(r *Report) {
+	for _, e := range r.exchanges {
+		switch e.cause {
+		case snipeford.CauseQuarantined, snipeford.CauseSuspectPrompt:
+			r.addViolation("%s: refused as %s, but no request makes replicas crash", e.id, e.cause)
+		case snipeford.CauseNoUpstream, snipeford.CauseOverload:
+			if e.cause == snipeford.CauseOverload && !f.cuts.cutAt(e.node, e.sent, 0) {
+				// It waited for a place, as on any day with few replicas.
+				continue
+			}
+			if held := e.ended.Sub(e.sent); held > maxRefusalTime && isCalm(e.node.disturbances(), e.ended) && !isStopping(e.node.disturbances(), e.sent) {
+				r.addViolation("%s: refused after %v, want at most %v", e.id, held.Round(time.Millisecond), maxRefusalTime)
+			}
+		}
+	}
+}
+
+// checkLeft checks that requests of clients that have left do not reach replicas.
+func (f *fleet) checkLeft(r *Report) {
+	left, late := 0, 0
+	for _, e := range r.exchanges {
+		if e.left == 0 {
+			continue
+		}
+		left++
+		for _, at := range f.requestLog.Get(e.id).Arrivals {
+			// A cut holds back what was sent before the client left.
+			if at.Sub(e.left) > leaveNoticeTime && !f.cuts.cutAt(e.node, e.left, 0) && isCalm(e.node.disturbances(), at) {
+				late++
+			}
+		}
+	}
+	r.addRemark("%d clients left early; %d of their requests reached replicas later than %v afterwards", left, late, leaveNoticeTime)
+	if late > maxArrivalsAfterLeaving {
+		r.addViolation("%d requests reached replicas later than %v after their client had left, want at most %d", late, leaveNoticeTime, maxArrivalsAfterLeaving)
+	}
+}
+
+// runBesideUncut runs a plan without its cuts and then with them, and compares what the
+// nodes served that were not cut off.
+func runBesideUncut(ctx context.Context, p Plan) (*Report, error) {
+	uncut := p
+	uncut.WithoutCuts = true
+	uncut.Directory = filepath.Join(p.Directory, "uncut")
+	if err := os.MkdirAll(uncut.Directory, 0o755); err != nil {
+		return nil, fmt.Errorf("create run directory: %w", err)
+	}
+	without, err := run(ctx, uncut)
+	if err != nil {
+		return nil, err
+	}
+	r, err := run(ctx, p)
+	if err != nil {
+		return nil, err
+	}
+	for _, violation := range without.Violations {
+		r.addViolation("without cuts: %s", violation)
+	}
+	before, after := without.cutCount.others, r.cutCount.others
+	r.addRemark("served by the others without cuts: %v", before)
+	if before.sent >= minSample && after.sent >= minSample && after.share() < minUncutShare*before.share() {
+		r.addViolation("%v requests served by nodes with links, %v on the same seed without cuts", after, before)
+	}
+	return r, nil
+}
--- a/cmd/standin/soak/fleet.go
+++ b/cmd/standin/soak/fleet.go
@@ -34,8 +34,10 @@
 	Nodes           int
 	ModelReplicas   int
 	ServiceReplicas int
-	Clients         int
-	Variant         Variant
+	// WithoutCuts leaves out the cuts of variant CutOff.
+	WithoutCuts bool
+	Clients     int
+	Variant     Variant
 }
 
 // host is the Host header of all requests and the host of all routes.
@@ -61,6 +63,8 @@
 	poison *poison
 	// limited are the replicas that state request limits.
 	limited []*limitedReplica
+	// cuts are the cuts of links so far.
+	cuts cutLog
 	// context ends at close, and with it the pending restarts of replicas.
 	context  context.Context
 	cancel   context.CancelFunc
@@ -115,7 +119,11 @@
 		}
 	}
 	for i := range p.Nodes {
-		if err := f.startNode(i, address); err != nil {
+		storeAddress, err := f.storeAddress(i, address)
+		if err != nil {
+			return f, err
+		}
+		if err := f.startNode(i, storeAddress); err != nil {
 			return f, err
 		}
 	}
@@ -155,7 +163,7 @@
 		return err
 	}
 	n := &node{settingsFile: filepath.Join(f.plan.Directory, fmt.Sprintf("n%d.toml", i)), callerAddress: addresses[0], storeRelay: storeRelay, clock: f.clock}
-	text := fmt.Sprintf(settingsText, i, failureDomain(i), addresses[0], addresses[1], addresses[2], addresses[3], storeRelay.Address(), int(stopGrace.Seconds()))
+	text := fmt.Sprintf(settingsText, i, f.nodeDomain(i), addresses[0], addresses[1], addresses[2], addresses[3], storeRelay.Address(), int(stopGrace.Seconds()))
 	if err := os.WriteFile(n.settingsFile, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write node settings: %w", err)
 	}
@@ -241,6 +249,9 @@
 	}
 	for _, h := range f.upstreams {
 		h.relay.Close()
+		for _, l := range h.links {
+			l.Close()
+		}
 	}
 	for _, s := range f.servers {
 		_ = s.Close()
--- a/cmd/standin/soak/poison.go
+++ b/cmd/standin/soak/poison.go
@@ -163,7 +163,7 @@
 	f.poison.mu.Lock()
 	f.poison.crashes = append(f.poison.crashes, f.clock.Now())
 	f.poison.mu.Unlock()
-	h.relay.Refuse()
+	h.takeDown()
 	f.restarts.Go(func() {
 		rng := rand.New(rand.NewPCG(f.plan.Seed, uint64(standin.NamedPart(r.ID, 0).ID)))
 		sleepRandom(f.context, rng, 300, 1500)
@@ -173,7 +173,7 @@
 			return
 		}
 		// A failed start leaves the run without the replica.
-		if h.relay.Listen() == nil {
+		if h.bringUp() == nil {
 			_ = f.startReplica(h, fmt.Sprintf("%s-%d", r.ID, h.startCount()))
 		}
 	})
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -39,10 +39,12 @@
 	Request Variant = "request"
 	// Limit has all kinds of faults, and replicas that state request limits.
 	Limit Variant = "limit"
+	// CutOff has planned work, crashes, and nodes that lose their links to replicas.
+	CutOff Variant = "cut"
 )
 
 // Variants lists the names of all variants.
-var Variants = []Variant{Mixed, Planned, Poison, Request, Limit}
+var Variants = []Variant{Mixed, Planned, Poison, Request, Limit, CutOff}
 
 const (
 	mixedReplicaFaultRate   = 0.04
@@ -62,6 +64,8 @@
 	switch v {
 	case Planned:
 		return plannedFaults, concurrentFaults
+	case CutOff:
+		return cutFaults, concurrentCutFaults
 	case Poison, Request:
 		// The checks judge only nodes that were not stopped shortly before.
 		return poisonFaults, 1
@@ -72,6 +76,8 @@
 // runVariantClient runs a client of the run's variant.
 func (f *fleet) runVariantClient(ctx context.Context, number int, r *Report) {
 	switch f.plan.Variant {
+	case CutOff:
+		f.runCutClient(ctx, number, r)
 	case Planned, Limit:
 		f.runCaller(ctx, number, r, nextPlannedRequest(number))
 	case Poison:
@@ -83,8 +89,16 @@
 	}
 }
 
-// Run performs one run with the plan's seed.
+// Run performs one run with the plan's seed. A run with cuts is compared with one
+// without.
 func Run(ctx context.Context, p Plan) (*Report, error) {
+	if p.Variant == CutOff && !p.WithoutCuts {
+		return runBesideUncut(ctx, p)
+	}
+	return run(ctx, p)
+}
+
+func run(ctx context.Context, p Plan) (*Report, error) {
 	f, err := startFleet(p)
 	if f != nil {
 		defer f.close()
@@ -115,6 +129,8 @@
 		f.checkPoison(r)
 	case Limit:
 		f.checkLimits(r)
+	case CutOff:
+		f.checkCutOff(r)
 	}
 	return r, nil
 }
--- a/cmd/standin/soak/upstreams.go
+++ b/cmd/standin/soak/upstreams.go
@@ -36,8 +36,10 @@
 // upstreamHost serves the replicas that run at one address, one after the other.
 type upstreamHost struct {
 	service, domain string
-	// relay carries the connections to the replica.
+	// relay carries the connections to the replica, or, in runs with cuts, links do: one
+	// for each node.
 	relay *relay.Relay
+	links []*standin.Link
 
 	mu      sync.Mutex
 	replica *standin.Replica
@@ -80,6 +82,11 @@
 	if h.relay, err = relay.StartAt(address, target); err != nil {
 		return err
 	}
+	if f.plan.Variant == CutOff {
+		if err := f.startLinks(h, target); err != nil {
+			return err
+		}
+	}
 	f.upstreams = append(f.upstreams, h)
 	return f.startReplica(h, fmt.Sprintf("i-%d", i))
 }
--- a/internal/emulate/relay/block.go
+++ b/internal/emulate/relay/block.go
@@ -19,6 +19,7 @@
 // BlockNew makes new connections hang until Listen. Open ones stay.
 func (r *Relay) BlockNew() error {
 	r.RefuseNew()
+	r.unblock()
 	b, err := blockAddress(r.address)
 	if err != nil {
 		return fmt.Errorf("block %s: %w", r.address, err)
