Mark the end of an upstream's bytes on a detour

Cause: the kernel ends the connections of a killed process without a reset, which is how a response without a length ends. Now bytes from the gate come in frames, and only a frame of length zero is the end.

A second node that does not reach an upstream is enough to stop asking further ones.

--- a/internal/fleet/detour/client.go
+++ b/internal/fleet/detour/client.go
@@ -1,6 +1,7 @@
 package detour
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -57,7 +58,7 @@
 	defer cancel()
 	results := make(chan asked, len(peers))
 	var failures []error
-	started, ended := 0, 0
+	started, ended, unreached := 0, 0, 0
 	for {
 		if started < len(peers) {
 			go func(p directory.Peer) {
@@ -71,11 +72,14 @@
 			continue
 		}
 		ended++
+		if errors.Is(r.err, snipeford.ErrUpstreamUnreachable) {
+			unreached++
+		}
 		switch {
 		case r.err == nil:
 			go closeRest(results, started-ended)
 			return r.conn, r.node, nil
-		case errors.Is(r.err, snipeford.ErrUpstreamRefuses), ended == len(peers), ctx.Err() != nil:
+		case errors.Is(r.err, snipeford.ErrUpstreamRefuses), unreached == minUnreached, ended == len(peers), ctx.Err() != nil:
 			go closeRest(results, started-ended)
 			return nil, "", summary(append(failures, r.err))
 		}
@@ -83,6 +87,10 @@
 	}
 }
 
+// minUnreached is the number of nodes that do not reach an upstream, after which no more
+// are asked.
+const minUnreached = 2
+
 // next waits for the next result, at most for staggerDelay if another node can be asked.
 func (c *Client) next(ctx context.Context, results <-chan asked, more bool) (asked, bool) {
 	if !more {
@@ -148,7 +156,7 @@
 		return nil, c.failed(ctx, p, fmt.Errorf("%s: %w", p.Node, errors.Join(err, ctx.Err())))
 	}
 	c.avoid(p.Node, 0)
-	return conn, nil
+	return &framedConn{Conn: conn, reader: bufio.NewReaderSize(conn, maxFrameBytes)}, nil
 }
 
 // failed notes that a node could not help, unless the connection was no longer needed or
--- a/internal/fleet/detour/detour.go
+++ b/internal/fleet/detour/detour.go
@@ -4,8 +4,9 @@
 // first node: which upstream, what is sent again, and when the connection is closed.
 //
 // The first node sends one Request as a line of JSON. The gate responds with one byte, a
-// reply, and after replyOpen the connection carries one exchange with the upstream. Ends
-// and resets of one side are passed on to the other.
+// reply, and after replyOpen the connection carries one exchange with the upstream: plain
+// bytes to the gate, and frames from it. Ends and resets of one side are passed on to the
+// other.
 package detour
 
 import (
--- a/internal/fleet/detour/gate.go
+++ b/internal/fleet/detour/gate.go
@@ -28,10 +28,10 @@
 
 const (
 	// maxOpen is the number of connections that a gate carries at most, and
-	// maxOpenPerNode those for one node. A connection takes two buffers of bufferSize.
+	// maxOpenPerNode those for one node. A connection takes three buffers of
+	// maxFrameBytes.
 	maxOpen        = 256
 	maxOpenPerNode = 128
-	bufferSize     = 8 << 10
 	// endTimeout is how long the node that asked may take to close the connection after
 	// the upstream has ended its response.
 	endTimeout = 5 * time.Second
@@ -160,9 +160,15 @@
 		}
 		reset(upstream)
 	})
-	err := copyBytes(peer, upstream)
-	if err != nil || !g.finish(peer) {
-		// A connection that is reset must not look like the end of a response.
+	frames := &frameWriter{to: peer}
+	err := copyBytes(frames, upstream)
+	if err == nil {
+		err = frames.end()
+	}
+	if err == nil {
+		err = peer.SetReadDeadline(g.Timer.Deadline(endTimeout))
+	}
+	if err != nil {
 		reset(peer)
 	}
 	group.Wait()
@@ -170,15 +176,6 @@
 	_ = upstream.Close()
 }
 
-// finish passes on the end of a response, and limits the time until the peer closes.
-func (g *Gate) finish(peer net.Conn) bool {
-	half, ok := peer.(interface{ CloseWrite() error })
-	if !ok {
-		return false
-	}
-	return half.CloseWrite() == nil && peer.SetReadDeadline(g.Timer.Deadline(endTimeout)) == nil
-}
-
 // reset closes a connection with a reset.
 func reset(c net.Conn) {
 	switch c := c.(type) {
@@ -195,6 +192,6 @@
 // copyBytes copies until the end of from, for which it returns nil, or an error. It uses
 // a buffer of its own, since splicing sockets takes two more descriptors each.
 func copyBytes(to io.Writer, from io.Reader) error {
-	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, bufferSize))
+	_, err := io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, maxFrameBytes-frameHeaderBytes))
 	return err
 }
