Probe through other nodes while no upstream is reachable

Cause: the probes of a node that reaches nothing were direct connections only, and each failed one renewed the state. Now a detour is tried as well. A request that has ended itself does not count an upstream as unreached.

--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -99,6 +99,12 @@
 	return lost || s.cutOff
 }
 
+// IsUnreached reports whether an upstream was lately found to be reached by nobody.
+func (s *State) IsUnreached(now snipeford.Instant, address string) bool {
+	at, ok := s.unreached[address]
+	return ok && now.Sub(at) <= unreachedTTL
+}
+
 // CutOff reports whether the node has lost its links to upstreams that other nodes
 // reach.
 func (s *State) CutOff() bool { return s.cutOff }
--- a/internal/upstream/connection/examine.go
+++ b/internal/upstream/connection/examine.go
@@ -18,21 +18,25 @@
 	if through != "" {
 		return p.checkDetour(ctx, address, through)
 	}
-	var direct *link
-	var err error
-	for range reachabilityTries {
-		if direct, err = p.openDirect(ctx, address, timeout); err == nil {
-			_ = direct.Close()
-			return nil
+	l, err := p.openDirect(ctx, address, timeout)
+	if err != nil {
+		// Another node tries beside the second attempt.
+		detoured := make(chan error, 1)
+		go func() { detoured <- p.openDetour(ctx, address, timeout) }()
+		if l, err = p.openDirect(ctx, address, timeout); err != nil && <-detoured == nil {
+			p.updateReach(func(now snipeford.Instant, s *reach.State) { s.Lost(now, address) })
+			return ErrLinkLost
 		}
 	}
-	if p.reachedByDetour(ctx, address) == nil {
-		return ErrLinkLost
+	if err != nil {
+		return fmt.Errorf("upstream does not accept connections: %w", err)
 	}
-	return fmt.Errorf("upstream does not accept connections: %w", err)
+	// No data was sent, so an error of Close does not matter.
+	_ = l.Close()
+	return nil
 }
 
-// reachabilityTries is how many times CheckReachable tries to connect directly.
+// reachabilityTries is how many times Examine tries to connect directly.
 const reachabilityTries = 2
 
 func (p *Pool) checkDetour(ctx context.Context, address string, through snipeford.NodeID) error {
@@ -51,15 +55,25 @@
 // reachedByDetour returns nil if another node reaches an upstream that a direct
 // connection has not reached.
 func (p *Pool) reachedByDetour(ctx context.Context, address string) error {
+	if err := p.openDetour(ctx, address, detourCheckTimeout); err != nil {
+		return err
+	}
+	p.updateReach(func(now snipeford.Instant, s *reach.State) { s.Lost(now, address) })
+	return nil
+}
+
+// openDetour returns nil if another node reaches an upstream within a time.
+func (p *Pool) openDetour(ctx context.Context, address string, timeout time.Duration) error {
 	if p.Detours == nil {
 		return snipeford.ErrNoDetour
 	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	c, _, err := p.Detours.Open(ctx, address)
 	if err != nil {
 		return err
 	}
 	_ = c.Close()
-	p.updateReach(func(now snipeford.Instant, s *reach.State) { s.Lost(now, address) })
 	return nil
 }
 
@@ -113,6 +127,9 @@
 	// a network round trip.
 	endedCheckTimeout = 100 * time.Millisecond
 	endedRetryDelay   = 20 * time.Millisecond
+	// detourCheckTimeout limits the detour of a check. Another node takes a few network
+	// round trips to reach an upstream.
+	detourCheckTimeout = 150 * time.Millisecond
 	// confirmedTime is how long ago this node may have reached an upstream for its view
 	// of another one to count.
 	confirmedTime = 500 * time.Millisecond
--- a/internal/upstream/connection/link.go
+++ b/internal/upstream/connection/link.go
@@ -233,6 +233,7 @@
 
 // probeLost tries a direct connection to an upstream that was lost.
 func (p *Pool) probeLost(ctx context.Context, now snipeford.Instant) {
+	noWay := p.NoWay()
 	p.mu.Lock()
 	address, due := p.links.reach.NextProbe(now)
 	p.mu.Unlock()
@@ -241,11 +242,14 @@
 	}
 	go func() {
 		l, err := p.openDirect(ctx, address, probeTimeout)
-		if err != nil {
-			p.updateReach(func(now snipeford.Instant, s *reach.State) { s.ProbeFailed(now, address) })
+		if err == nil {
+			p.put(newConn(l, address), 0)
 			return
 		}
-		p.put(newConn(l, address), 0)
+		if noWay && p.reachedByDetour(ctx, address) == nil {
+			return
+		}
+		p.updateReach(func(now snipeford.Instant, s *reach.State) { s.ProbeFailed(now, address) })
 	}()
 }
 
--- a/internal/upstream/connection/open.go
+++ b/internal/upstream/connection/open.go
@@ -34,9 +34,13 @@
 		return p.openDirect(ctx, address, dialTimeout)
 	}
 	p.mu.Lock()
-	delay := p.links.reach.DetourDelay()
+	delay, timeout := p.links.reach.DetourDelay(), dialTimeout
+	if p.links.reach.IsUnreached(p.Timer.Now(), address) {
+		delay, timeout = 0, probeTimeout
+	}
 	p.mu.Unlock()
-	ctx, cancel := context.WithCancel(ctx)
+	parent := ctx
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	results := make(chan opened, 2)
 	directTimeout := dialTimeout
 	if detourFirst {
@@ -74,7 +78,7 @@
 	}
 	cancel()
 	go closeOther(results, 2-len(failed))
-	return nil, p.recordFailure(ctx, address, failed)
+	return nil, p.recordFailure(parent, address, failed)
 }
 
 func (p *Pool) openDirectOrDetour(ctx context.Context, address string, detour bool, directTimeout time.Duration) (*link, error) {
@@ -124,7 +128,8 @@
 		errs = append(errs, f.err)
 		detoursFailed = detoursFailed || f.detour && !errors.Is(f.err, context.Canceled)
 	}
-	if detoursFailed {
+	// A request that has ended tells nothing about the upstream.
+	if detoursFailed && ctx.Err() == nil {
 		p.updateReach(func(now snipeford.Instant, s *reach.State) { s.Unreached(now, address) })
 	}
 	return errors.Join(errs...)
