Keep streams of engines that pause for a second or so

The users' pages say that a sound replica may fall silent for a second or so and go on. A stream whose engine was silent for 0.7 s and then let two connections hang for 0.2 s each was cancelled after 1.1 s, and its prompt read again elsewhere.

--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"slices"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"snipeford"
@@ -182,8 +181,9 @@
 	defer cancel(nil)
 	eventWatchdog := s.watchFirstEvent(p, cancel)
 	defer func() { eventWatchdog.Stop() }()
-	var through atomic.Pointer[snipeford.NodeID]
-	reachabilityWatchdog := s.watchReachability(attemptCtx, p, &through, cancel)
+	contact := &contact{}
+	contact.progressAt.Store(int64(s.attemptStart))
+	reachabilityWatchdog := s.watchReachability(attemptCtx, p, contact, cancel)
 	defer reachabilityWatchdog.Stop()
 	x, err := s.send(attemptCtx, p, cancel)
 	if s.reserved != nil {
@@ -193,7 +193,7 @@
 		return s.handleNoResponse(p, err)
 	}
 	defer x.Close()
-	through.Store(&x.Through)
+	contact.through.Store(&x.Through)
 	s.logThrough(p.Upstream, x)
 	s.reportDirectives(s.service, p.Upstream, p.Limited, x, s.attemptStart)
 	s.possibleReceipts++
@@ -212,6 +212,7 @@
 	}
 	s.possibleRuns++
 	return s.relayEvents(attemptCtx, p, x, func() {
+		contact.progressAt.Store(int64(s.Timer.Now()))
 		reachabilityWatchdog.Reset()
 		eventWatchdog.Stop()
 		eventWatchdog = s.watchNextEvent(s.failoverTimeout(), cancel)
--- a/internal/request/relay/stream_test.go
+++ b/internal/request/relay/stream_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"snipeford"
+	standinrelay "snipeford/internal/emulate/relay"
 )
 
 func TestStreamIsRelayed(t *testing.T) {
@@ -186,3 +187,43 @@
 		t.Errorf("got %v left in the placement request, want at least %v", got, min)
 	}
 }
+
+// pauseTime is how long a sound engine may be silent.
+const pauseTime = 1300 * time.Millisecond
+
+// TestPausedEngineKeepsItsStream guards against prompts that are read again elsewhere
+// because a sound engine was silent for a second or so and accepted no connections.
+func TestPausedEngineKeepsItsStream(t *testing.T) {
+	sent := make(chan bool, 1)
+	paused := func(c net.Conn, r *http.Request) {
+		writeStreamHead(c, r)
+		writeChunk(c, eventText(1, 2))
+		sent <- true
+		time.Sleep(pauseTime / 2)
+		writeChunk(c, eventText(3, 5))
+		writeChunk(c, "")
+	}
+	h := newHarness(t, paused, streamEvents(3, 5, true))
+	address := &h.relay.View().Usable["s"][0].Address
+	link, err := standinrelay.Start(*address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer link.Close()
+	*address = link.Address()
+	go func() {
+		<-sent
+		time.Sleep(20 * time.Millisecond)
+		link.Stall(standinrelay.ToTarget, standinrelay.FromTarget)
+		if err := link.BlockNew(); err != nil {
+			t.Errorf("got %v, want new connections to hang", err)
+		}
+		time.Sleep(pauseTime)
+		link.Restore()
+		if err := link.Listen(); err != nil {
+			t.Errorf("got %v, want new connections", err)
+		}
+	}()
+	assertResponse(t, h.call(t, http.MethodPost, "/quick/x"), 200, eventText(1, 5))
+	assertRequestCount(t, h, 1)
+}
--- a/internal/upstream/connection/examine.go
+++ b/internal/upstream/connection/examine.go
@@ -99,7 +99,7 @@
 		}
 		l, err := p.openDirect(ctx, address, endedCheckTimeout)
 		if err != nil {
-			return p.examineFailure(ctx, address, isRefused(err))
+			return p.examineFailure(ctx, address, IsRefused(err))
 		}
 		// No data was sent, so an error of Close does not matter.
 		_ = l.Close()
--- a/internal/upstream/connection/open.go
+++ b/internal/upstream/connection/open.go
@@ -208,7 +208,8 @@
 	p.updateReach(func(_ snipeford.Instant, s *reach.State) { s.Retain(known) })
 }
 
-// isRefused reports whether an upstream's VM refused a connection.
-func isRefused(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED)
+// IsRefused reports whether an upstream's VM refused a connection, from this node or from
+// another one.
+func IsRefused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, snipeford.ErrUpstreamRefuses)
 }
