Count crashes behind a quarantine for a part that explains more of them

TestQuarantineProperties had 9 crashes by one part, where 8 are allowed. Trace: engines also crash under requests without the part, so that three sound parts with three and four crashes each were quarantined first; their quarantines explained the crashes of the poison, which had to collect three further ones. Cause: a crash that a quarantine explains counted for no other part. It now counts for a part that may have caused more successive crashes than the quarantined one.

TestPoisonBehindQuarantinedParts, that history, failed before.

--- a/internal/policy/quarantine/quarantine_test.go
+++ b/internal/policy/quarantine/quarantine_test.go
@@ -287,3 +287,22 @@
 		}
 	})
 }
+
+// TestPoisonBehindQuarantinedParts guards against a poison whose crashes are explained by
+// sound parts that were quarantined first, since engines crash for other reasons as well.
+func TestPoisonBehindQuarantinedParts(t *testing.T) {
+	s := &State{}
+	now := at(0)
+	for i, list := range [][]string{
+		{"p0", "q0"}, {"p1", "q1"}, {"p0", "q0", "bad"}, {"p0", "q1", "bad"}, {"p1", "q0", "bad"},
+		{"p1", "q0"}, {"p1", "q0", "bad"}, {"p1", "q1", "bad"}, {"p1", "q2", "bad"},
+	} {
+		now = now.Add(time.Second)
+		s.Crashed(now, snipeford.UpstreamID(fmt.Sprint("e", i)), parts(list...), now.Add(-settleTime))
+		now = now.Add(settleTime)
+		s.Tick(now)
+	}
+	if !s.quarantined("bad") {
+		t.Errorf("got quarantines %v, want the part of all requests but three that crashed", s.Quarantines())
+	}
+}
--- a/internal/policy/quarantine/ranking.go
+++ b/internal/policy/quarantine/ranking.go
@@ -24,27 +24,32 @@
 }
 
 // ranking returns the parts that may have caused the crashes up to an instant that no
-// quarantine explains, the most probable one first.
+// quarantine explains, the most probable one first. Crashes that one explains count, too,
+// for a part that may have caused more successive ones than the quarantined part: sound
+// parts can be quarantined before it.
 func (s *State) ranking(now, until snipeford.Instant) []candidate {
 	byPart := map[snipeford.PrefixPart]*candidate{}
+	var explained []int
 	for i, c := range s.crashes {
-		if c.at > until || s.explained(c) {
-			continue
-		}
-		for part, placedAt := range c.placedAt {
-			f := byPart[part]
-			if f == nil {
-				f = &candidate{part: part, lastBegan: s.history.lastBegan(part)}
-				byPart[part] = f
-			}
-			f.all++
-			f.crashes |= 1 << i
-			if f.successive == 0 || placedAt > f.lastAt {
-				f.successive++
-				f.lastAt = c.at
+		switch {
+		case c.at > until:
+		case s.isExplained(c):
+			explained = append(explained, i)
+		default:
+			for part := range c.placedAt {
+				byPart[part] = nil
 			}
 		}
 	}
+	quarantined := s.quarantinedSuccessive(explained, until)
+	for part := range byPart {
+		all := s.candidate(part, until, func(*crash) bool { return true })
+		if len(quarantined) == 0 {
+			byPart[part] = all
+			continue
+		}
+		byPart[part] = s.candidate(part, until, func(c *crash) bool { return !explainedAsWell(c, all.successive, quarantined) })
+	}
 	out := make([]candidate, 0, len(byPart))
 	for _, f := range byPart {
 		f.score = f.successive
@@ -88,8 +93,49 @@
 	}
 }
 
-// explained reports whether a quarantined part may have caused the crash.
-func (s *State) explained(c *crash) bool {
+// candidate returns what the crashes up to an instant say of a part, as far as they count.
+func (s *State) candidate(part snipeford.PrefixPart, until snipeford.Instant, counts func(*crash) bool) *candidate {
+	f := &candidate{part: part, lastBegan: s.history.lastBegan(part)}
+	for i, c := range s.crashes {
+		placedAt, ok := c.placedAt[part]
+		if !ok || c.at > until || !counts(c) {
+			continue
+		}
+		f.all++
+		f.crashes |= 1 << i
+		if f.successive == 0 || placedAt > f.lastAt {
+			f.successive++
+			f.lastAt = c.at
+		}
+	}
+	return f
+}
+
+// quarantinedSuccessive returns for each quarantined part of some crashes the number of
+// successive crashes that it may have caused.
+func (s *State) quarantinedSuccessive(explained []int, until snipeford.Instant) map[snipeford.PrefixPart]int {
+	out := map[snipeford.PrefixPart]int{}
+	for part := range s.records {
+		if s.quarantined(part) && slices.ContainsFunc(explained, func(i int) bool { _, ok := s.crashes[i].placedAt[part]; return ok }) {
+			out[part] = s.candidate(part, until, func(*crash) bool { return true }).successive
+		}
+	}
+	return out
+}
+
+// explainedAsWell reports whether a quarantined part may have caused the crash, and at
+// least as many successive ones as another part with a number of them.
+func explainedAsWell(c *crash, successive int, quarantined map[snipeford.PrefixPart]int) bool {
+	for part, count := range quarantined {
+		if _, ok := c.placedAt[part]; ok && count >= successive {
+			return true
+		}
+	}
+	return false
+}
+
+// isExplained reports whether a quarantined part may have caused the crash.
+func (s *State) isExplained(c *crash) bool {
 	for part := range c.placedAt {
 		if s.quarantined(part) {
 			return true
--- a/internal/policy/quarantine/watched.go
+++ b/internal/policy/quarantine/watched.go
@@ -21,7 +21,7 @@
 		}
 	}
 	for _, c := range slices.Backward(s.crashes) {
-		if s.explained(c) {
+		if s.isExplained(c) {
 			continue
 		}
 		for part := range c.placedAt {
@@ -43,6 +43,6 @@
 func (s *State) hasCrashed(part snipeford.PrefixPart) bool {
 	return slices.ContainsFunc(s.crashes, func(c *crash) bool {
 		_, ok := c.placedAt[part]
-		return ok && !s.explained(c)
+		return ok && !s.isExplained(c)
 	})
 }
