Notice on a detour that the node that asked is gone

Found by reading: the connection that a gate accepts had the default keep-alive, so that an engine would go on working for minutes for a node that lost its power. It now has the time-outs of the connections that nodes open. No test: loopback loses no peers.

--- a/internal/operate/edge/detours.go
+++ b/internal/operate/edge/detours.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"context"
 	"math/rand/v2"
+	"net"
 
 	"snipeford/internal/control/directory"
 	"snipeford/internal/fleet/detour"
@@ -16,7 +18,18 @@
 	n.pool.Known = func() []string { return addresses(n.follower.current()) }
 	n.pool.Detours = &detour.Client{Self: n.self, Timer: n.timer, View: n.follower.current, Dial: connection.Dial}
 	n.gate.Timer, n.gate.View, n.gate.Upstreams, n.gate.OnOpen = n.timer, n.follower.current, n.pool, n.counts.DetourCarried
-	n.peerServer.Detour = n.gate.Serve
+	n.peerServer.Detour = n.serveDetour
+}
+
+// serveDetour serves a connection that is to lead to an upstream. Without DetectDead, an
+// engine would go on working for a node that is gone.
+func (n *Node) serveDetour(ctx context.Context, c net.Conn, r detour.Request) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		if err := connection.DetectDead(tcp); err != nil {
+			n.log.Warn("cannot detect whether a node is gone", err, "Peer", r.Node)
+		}
+	}
+	n.gate.Serve(ctx, c, r)
 }
 
 // cutOffChanged logs that the node has lost its links to upstreams, or has them back.
--- a/internal/upstream/connection/pool.go
+++ b/internal/upstream/connection/pool.go
@@ -122,12 +122,28 @@
 	return &conn{link: l, head: head, reader: bufio.NewReaderSize(head, readBufferSize), address: address}
 }
 
+// DetectDead makes the kernel close an accepted connection whose peer does not acknowledge
+// sent data or probes in time, as Dial does for connections that it opens.
+func DetectDead(c *net.TCPConn) error {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return fmt.Errorf("access socket: %w", trace.ConvertSystemError(err))
+	}
+	if err := setUserTimeout("", "", raw); err != nil {
+		return err
+	}
+	if err := c.SetKeepAliveConfig(keepAlive); err != nil {
+		return fmt.Errorf("set keep-alive: %w", trace.ConvertSystemError(err))
+	}
+	return nil
+}
+
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+
 // Dial opens a TCP connection that the kernel closes if the other side does not
 // acknowledge sent data or probes in time.
 func Dial(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: timeout, Control: setUserTimeout, KeepAliveConfig: net.KeepAliveConfig{
-		Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
-	}}
+	dialer := net.Dialer{Timeout: timeout, Control: setUserTimeout, KeepAliveConfig: keepAlive}
 	c, err := dialer.DialContext(ctx, "tcp4", address)
 	if err != nil {
 		return nil, trace.ConvertSystemError(err)
