Refuse requests at once only to services that nobody reaches

Found by reading: three plain replicas that ended within a second made a node without traffic to engines refuse prompts as well, since the state was one for all upstreams. It now counts the upstreams of the request's service: three that were reached by nobody, or all if there are fewer. TestNoWay has the cases.

--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -112,13 +112,23 @@
 // LostCount returns the number of upstreams that only detours reach.
 func (s *State) LostCount() int { return len(s.lost) }
 
-// NoWay reports whether neither this node nor other nodes have lately reached any of
-// the upstreams that were tried. contactAt is when an upstream last sent anything.
-func (s *State) NoWay(now, contactAt snipeford.Instant) bool {
+// NoWay reports whether neither this node nor other nodes have lately reached any of some
+// upstreams that were tried: minUnreached of them, or all if they are fewer. contactAt is
+// when any upstream last sent something.
+func (s *State) NoWay(now, contactAt snipeford.Instant, addresses []string) bool {
 	maps.DeleteFunc(s.unreached, func(_ string, at snipeford.Instant) bool { return now.Sub(at) > unreachedTTL || at <= contactAt })
-	return len(s.unreached) >= minUnreached
+	found := 0
+	for _, address := range addresses {
+		if _, ok := s.unreached[address]; ok {
+			found++
+		}
+	}
+	return found > 0 && found >= min(minUnreached, len(addresses))
 }
 
+// HasUnreached reports whether an upstream was lately found to be reached by nobody.
+func (s *State) HasUnreached() bool { return len(s.unreached) > 0 }
+
 // Failing reports whether the last direct connection failed.
 func (s *State) Failing() bool { return s.regained == 0 && len(s.lost)+len(s.unreached) > 0 }
 
--- a/internal/policy/reach/reach_test.go
+++ b/internal/policy/reach/reach_test.go
@@ -80,24 +80,32 @@
 
 func TestNoWay(t *testing.T) {
 	s := &reach.State{}
+	all := []string{"a", "b", "c", "d"}
+	s.Unreached(at(1), "a")
+	if s.NoWay(at(1.5), 0, all) || !s.NoWay(at(1.5), 0, []string{"a"}) {
+		t.Error("got another answer, want no way only to a service whose one upstream was reached by nobody")
+	}
 	for _, address := range []string{"a", "b", "c"} {
 		s.Unreached(at(1), address)
 	}
-	if !s.NoWay(at(1.5), 0) {
+	if !s.NoWay(at(1.5), 0, all) {
 		t.Error("got a way, want none: three upstreams were reached by nobody")
 	}
-	if s.NoWay(at(1.5), at(1.2)) {
+	if s.NoWay(at(1.5), 0, []string{"d", "e", "f"}) {
+		t.Error("got no way to a service none of whose upstreams was tried, want one")
+	}
+	if s.NoWay(at(1.5), at(1.2), all) {
 		t.Error("got no way, want one: an upstream has sent something since")
 	}
 	for _, address := range []string{"a", "b", "c"} {
 		s.Unreached(at(2), address)
 	}
 	s.ProbeFailed(at(2.9), "a")
-	if !s.NoWay(at(3.5), 0) {
+	if !s.NoWay(at(3.5), 0, all) {
 		t.Error("got a way, want none after a probe without success")
 	}
 	s.Detoured()
-	if s.NoWay(at(3.5), 0) {
+	if s.NoWay(at(3.5), 0, all) {
 		t.Error("got no way, want one through another node")
 	}
 }
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -39,7 +39,7 @@
 		if c.finishIfDone() {
 			return
 		}
-		if c.Pool.NoWay() {
+		if c.noWay(service) {
 			c.unreachable = true
 			break
 		}
@@ -206,7 +206,7 @@
 	case c.possibleRuns > 0:
 		c.refuse(upstreamFailed("no upstream answered"))
 	case c.unreachable:
-		c.refuse(noWay())
+		c.refuse(unreachable())
 	case c.suspected != nil:
 		c.refuse(c.suspected)
 	default:
--- a/internal/request/relay/refuse.go
+++ b/internal/request/relay/refuse.go
@@ -27,13 +27,13 @@
 	return &refusal{status: http.StatusServiceUnavailable, cause: snipeford.CauseOverload, retryAfter: retryAfter}
 }
 
-// noWay returns the refusal of a request for which no node reaches an upstream.
-func noWay() *refusal {
-	return &refusal{status: http.StatusServiceUnavailable, cause: snipeford.CauseNoUpstream, retryAfter: noWayRetryAfter, reason: "no upstream is reachable"}
+// unreachable returns the refusal of a request for which no node reaches an upstream.
+func unreachable() *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, cause: snipeford.CauseNoUpstream, retryAfter: unreachableRetryAfter, reason: "no upstream is reachable"}
 }
 
-// noWayRetryAfter is the time between two probes of upstreams that nobody reaches.
-const noWayRetryAfter = 500 * time.Millisecond
+// unreachableRetryAfter is the time between two probes of upstreams that nobody reaches.
+const unreachableRetryAfter = 500 * time.Millisecond
 
 // upstreamFailed returns the refusal of a request that an upstream may have run.
 func upstreamFailed(reason string) *refusal {
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -358,6 +358,17 @@
 	c.servePlain(service)
 }
 
+// noWay reports whether no node reaches an upstream of a service.
+func (c *requestState) noWay(service snipeford.ServiceName) bool {
+	return c.Pool.NoWay(func() []string {
+		var out []string
+		for _, u := range c.view.Usable[service] {
+			out = append(out, u.Address)
+		}
+		return out
+	})
+}
+
 // timeLeft returns the time until the deadline.
 func (c *requestState) timeLeft() time.Duration { return c.deadline.Sub(c.Timer.Now()) }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -68,8 +68,8 @@
 		if s.ctx.Err() != nil {
 			break
 		}
-		if s.Pool.NoWay() {
-			s.finish(noWay())
+		if s.noWay(s.service) {
+			s.finish(unreachable())
 			return
 		}
 		p, refused := s.place()
@@ -293,7 +293,7 @@
 		s.endBroken(p, err, 0)
 		return false
 	}
-	s.reportEnd(p, s.ctx.Err() == nil && !upstreamNotAtFault && !s.Pool.NoWay(), "")
+	s.reportEnd(p, s.ctx.Err() == nil && !upstreamNotAtFault && !s.noWay(s.service), "")
 	if !upstreamNotAtFault {
 		s.exclude(p, "")
 	}
--- a/internal/upstream/connection/link.go
+++ b/internal/upstream/connection/link.go
@@ -233,7 +233,7 @@
 
 // probeLost tries a direct connection to an upstream that was lost.
 func (p *Pool) probeLost(ctx context.Context, now snipeford.Instant) {
-	noWay := p.NoWay()
+	noWay := p.NoWay(p.known)
 	p.mu.Lock()
 	address, due := p.links.reach.NextProbe(now)
 	p.mu.Unlock()
--- a/internal/upstream/connection/open.go
+++ b/internal/upstream/connection/open.go
@@ -196,11 +196,15 @@
 	return p.links.reach.CutOff()
 }
 
-// NoWay reports whether neither this node nor others have lately reached an upstream.
-func (p *Pool) NoWay() bool {
+// NoWay reports whether neither this node nor others have lately reached any of the
+// upstreams with the addresses that were tried.
+func (p *Pool) NoWay(addresses func() []string) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.links.reach.NoWay(p.Timer.Now(), snipeford.Instant(p.links.anyContactAt.Load()))
+	if !p.links.reach.HasUnreached() {
+		return false
+	}
+	return p.links.reach.NoWay(p.Timer.Now(), snipeford.Instant(p.links.anyContactAt.Load()), addresses())
 }
 
 // Retain forgets what is known of the links to other upstreams than the given ones.
