Check the node that carries a stream before the stream is moved

Found by reading: a stream that was silent for 0.7 s and led through another node was checked by asking nodes in the present order. If one that could not help before would now be asked first, the stream was cancelled although its own way was sound. The node that carries it is asked now (TestChecksNodeThatCarriesDetour).

--- a/detour.go
+++ b/detour.go
@@ -13,6 +13,8 @@
 	// it leads through. The connection carries one exchange and is then closed.
 	// Errors are ErrUpstreamRefuses, ErrUpstreamUnreachable and ErrNoDetour.
 	Open(ctx context.Context, address string) (net.Conn, NodeID, error)
+	// Reaches returns nil if a node reaches the upstream with an address.
+	Reaches(ctx context.Context, node NodeID, address string) error
 }
 
 // Errors of Detours.
--- a/internal/fleet/detour/client.go
+++ b/internal/fleet/detour/client.go
@@ -91,6 +91,23 @@
 // are asked.
 const minUnreached = 2
 
+// Reaches asks one node for a connection to the upstream with an address, and closes it.
+func (c *Client) Reaches(ctx context.Context, node snipeford.NodeID, address string) error {
+	v := c.View()
+	upstream, known := upstreamAt(v, address)
+	p, found := v.Peers[node]
+	if !known || !found {
+		return fmt.Errorf("%w: %s to %s", snipeford.ErrNoDetour, node, address)
+	}
+	conn, err := c.ask(ctx, p, upstream)
+	if err != nil {
+		return err
+	}
+	// No data was sent, so an error of Close does not matter.
+	_ = conn.Close()
+	return nil
+}
+
 // next waits for the next result, at most for staggerDelay if another node can be asked.
 func (c *Client) next(ctx context.Context, results <-chan asked, more bool) (asked, bool) {
 	if !more {
--- a/internal/fleet/detour/detour_test.go
+++ b/internal/fleet/detour/detour_test.go
@@ -242,3 +242,24 @@
 		t.Errorf("got %v, want an unknown upstream", err)
 	}
 }
+
+// TestChecksNodeThatCarriesDetour guards against streams that are moved because another
+// node than the one that carries them would now be asked first.
+func TestChecksNodeThatCarriesDetour(t *testing.T) {
+	upstream := listen(t, respondAndClose)
+	near := peerAt("near", listen(t, serveGate(newGate(upstream, &upstreams{}))))
+	far := peerAt("far", listen(t, serveGate(newGate(upstream, &upstreams{}))))
+	far.Domain = "b"
+	cut := peerAt("cut", listen(t, serveGate(newGate(upstream, &upstreams{cutOff: true}))))
+	client := newClient(upstream, near, far, cut)
+	for _, node := range []snipeford.NodeID{"near", "far"} {
+		if err := client.Reaches(t.Context(), node, upstream); err != nil {
+			t.Errorf("%s: got %v, want it to reach the upstream", node, err)
+		}
+	}
+	for _, node := range []snipeford.NodeID{"cut", "unknown"} {
+		if err := client.Reaches(t.Context(), node, upstream); !errors.Is(err, snipeford.ErrNoDetour) {
+			t.Errorf("%s: got %v, want %v", node, err, snipeford.ErrNoDetour)
+		}
+	}
+}
--- a/internal/upstream/connection/examine.go
+++ b/internal/upstream/connection/examine.go
@@ -40,16 +40,14 @@
 const reachabilityTries = 2
 
 func (p *Pool) checkDetour(ctx context.Context, address string, through snipeford.NodeID) error {
-	c, by, err := p.Detours.Open(ctx, address)
-	if err != nil {
-		return fmt.Errorf("upstream does not accept connections: %w", err)
+	err := p.Detours.Reaches(ctx, through, address)
+	if err == nil {
+		return nil
 	}
-	// No data was sent, so an error of Close does not matter.
-	_ = c.Close()
-	if by != through {
-		return fmt.Errorf("%w: now through %s", ErrLinkLost, by)
+	if p.openDetour(ctx, address, detourCheckTimeout) == nil {
+		return fmt.Errorf("%w: through %s: %w", ErrLinkLost, through, err)
 	}
-	return nil
+	return fmt.Errorf("upstream does not accept connections: %w", err)
 }
 
 // reachedByDetour returns nil if another node reaches an upstream that a direct
