Try the links of a node that is cut off when another node asks it

It tries now; a success counts for its own links as well, and a failure still tells nothing about the upstream.

--- a/internal/fleet/detour/gate.go
+++ b/internal/fleet/detour/gate.go
@@ -112,13 +112,14 @@
 	if _, ok := v.Peers[request.Node]; !ok || !known {
 		return nil, replyUnknown
 	}
-	if g.Upstreams.CutOff() {
-		return nil, replyBusy
-	}
+	// The links of a node that is cut off may be back. If they are not, its failure tells
+	// nothing about the upstream.
 	upstream, err := g.Upstreams.Lend(ctx, address, gateDialTimeout)
 	switch {
 	case err == nil:
 		return upstream, replyOpen
+	case g.Upstreams.CutOff():
+		return nil, replyBusy
 	case !errors.Is(err, syscall.ECONNREFUSED):
 		return nil, replyUnreachable
 	case g.Upstreams.ConfirmsRefusal(ctx, address):
