End the wait for a place once no node reaches an upstream

While all nodes were cut off, requests waited in the home's queue to the end of their callers' patience. Cause: a node that attempts little does not find three upstreams that nobody reaches, and a request that waits did not look again. An upstream that nobody reaches now makes the node probe others, unless an upstream has just sent something, and a wait ends when its service turns out to be unreachable.

TestAllNodesWithoutLinksRefuseSoon failed before (1.19 and 1.33 s, 1 s allowed) and passes.

--- a/internal/policy/reach/reach.go
+++ b/internal/policy/reach/reach.go
@@ -126,6 +126,14 @@
 	return found > 0 && found >= min(minUnreached, len(addresses))
 }
 
+// AnyUnreached returns an upstream that was lately found to be reached by nobody.
+func (s *State) AnyUnreached() (string, bool) {
+	for address := range s.unreached {
+		return address, true
+	}
+	return "", false
+}
+
 // HasUnreached reports whether an upstream was lately found to be reached by nobody.
 func (s *State) HasUnreached() bool { return len(s.unreached) > 0 }
 
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -360,13 +360,18 @@
 
 // noWay reports whether no node reaches an upstream of a service.
 func (c *requestState) noWay(service snipeford.ServiceName) bool {
-	return c.Pool.NoWay(func() []string {
+	return c.Pool.NoWay(addressesOf(c.view, service))
+}
+
+// addressesOf returns a function that lists the addresses of a service's upstreams.
+func addressesOf(v *directory.View, service snipeford.ServiceName) func() []string {
+	return func() []string {
 		var out []string
-		for _, u := range c.view.Usable[service] {
+		for _, u := range v.Usable[service] {
 			out = append(out, u.Address)
 		}
 		return out
-	})
+	}
 }
 
 // timeLeft returns the time until the deadline.
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -105,7 +105,9 @@
 		}
 		return snipeford.Placement{RequestID: s.head.RequestID, Upstream: id}, nil
 	}
-	p, by := s.Placer.Place(s.ctx, snipeford.PlacementRequest{
+	waiting, stop := s.Pool.WhileReachable(s.ctx, addressesOf(s.view, s.service))
+	defer stop()
+	p, by := s.Placer.Place(waiting, snipeford.PlacementRequest{
 		RequestID: s.head.RequestID, Domain: s.Domain, Service: s.service,
 		Prompt: s.head.Prompt, ExpectedOutput: s.expectedOutput(),
 		FirstEventTarget: s.nextEventTarget(), EventGapTarget: s.route.EventGapTarget,
@@ -113,6 +115,9 @@
 		TimeLeft: s.placementTimeLeft(), Priority: s.priority, Excluded: s.excluded, AvoidHelpers: s.helperFailures >= maxHelperFailures,
 		PrefixParts: s.crashKeys(),
 	})
+	if p.Refused && errors.Is(context.Cause(waiting), connection.ErrNoWay) {
+		return p, unreachable()
+	}
 	if p.Refused && p.Cause != "" {
 		s.Log.Decided("prompt refused", s.head.RequestID, "By", by, "Cause", p.Cause, "Part", p.Part)
 		reason := "requests with part " + string(p.Part) + " of the prompt crashed engines"
--- a/internal/upstream/connection/exchange.go
+++ b/internal/upstream/connection/exchange.go
@@ -51,6 +51,8 @@
 	// ErrLinkLost means that the node has lost its link to the upstream, which other
 	// nodes still reach. It is no fault of the upstream.
 	ErrLinkLost = errors.New("link to upstream is lost")
+	// ErrNoWay means that no node reaches any upstream that could serve a request.
+	ErrNoWay = errors.New("no node reaches an upstream")
 )
 
 const (
--- a/internal/upstream/connection/link.go
+++ b/internal/upstream/connection/link.go
@@ -54,6 +54,8 @@
 	contactAt, anyContactAt atomic.Int64
 	probing                 sync.Mutex
 	probedAt                snipeford.Instant
+	// waiting holds the requests whose wait ends when no upstream is reachable.
+	waiting map[*waiter]bool
 }
 
 func (p *Pool) newLink(c net.Conn, address string, through snipeford.NodeID) *link {
@@ -151,7 +153,9 @@
 			return nil
 		case now := <-ticks:
 			p.probeSilence(ctx, now)
+			p.probeUnreached(ctx, now)
 			p.probeLost(ctx, now)
+			p.cancelWaiting(now)
 			p.dropSilent(now)
 		}
 	}
