Count suspicions after crashes of replicas in the soak's variant cut as allowed

Trace: two replicas (i-1, i-5) had really ended within 50 ms under requests with the same part; no cut was taken for a crash. The check now compares with the crashes of the run: a suspicion needs two, a quarantine three.

--- a/cmd/standin/soak/cut.go
+++ b/cmd/standin/soak/cut.go
@@ -346,13 +346,31 @@
 	}
 }
 
-// checkRefusals checks that no request is refused as one that crashes replicas, and that
-// requests are refused soon while nothing helps.
+// crashesToRefuse is the number of replicas that have to crash, for whatever reason, before
+// nodes may suspect a request of it.
+var crashesToRefuse = map[snipeford.Cause]int{snipeford.CauseSuspectPrompt: 2, snipeford.CauseQuarantined: 3}
+
+func (f *fleet) crashesBefore(at snipeford.Instant) int {
+	f.poison.mu.Lock()
+	defer f.poison.mu.Unlock()
+	n := 0
+	for _, crash := range f.poison.crashes {
+		if crash < at {
+			n++
+		}
+	}
+	return n
+}
+
+// checkRefusals checks that cuts are not taken for crashes of replicas, and that requests
+// are refused soon while nothing helps.
 func (f *fleet) checkRefusals(r *Report) {
 	for _, e := range r.exchanges {
 		switch e.cause {
 		case snipeford.CauseQuarantined, snipeford.CauseSuspectPrompt:
-			r.addViolation("%s: refused as %s, but no request makes replicas crash", e.id, e.cause)
+			if n := f.crashesBefore(e.ended); n < crashesToRefuse[e.cause] {
+				r.addViolation("%s: refused as %s after %d crashes of replicas", e.id, e.cause, n)
+			}
 		case snipeford.CauseNoUpstream, snipeford.CauseOverload:
 			if e.cause == snipeford.CauseOverload && !f.cuts.cutAt(e.node, e.sent, 0) {
 				// It waited for a place, as on any day with few replicas.
