Close the peers' listener before its server returns

Trace: the listener is closed in a goroutine of its own when the context ends, and Accept may return a connection just before, so that Serve returned with an open listener. Processes exit then; only tests start again in one process.

TestListenerIsClosedWhenServeReturns failed before.

--- a/internal/fleet/grant/server.go
+++ b/internal/fleet/grant/server.go
@@ -42,12 +42,17 @@
 	peers map[snipeford.NodeID]*frameConn
 }
 
-// Serve accepts connections until ctx ends.
+// Serve accepts connections until ctx ends. When it returns, the listener is closed.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
 	defer stop()
+	// Accept may return a connection before the function above has run.
+	defer func() { _ = listener.Close() }()
 	for {
 		c, err := listener.Accept()
+		if err == nil && ctx.Err() != nil {
+			_ = c.Close()
+		}
 		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
