Check pauses just before the first byte of a request

Upstreams that had answered 503 with Retry-After got more than two requests from a node in the time that they had asked for. Requests that waited for a connection while the response with the pause arrived were sent all the same: the last check before the first byte knew upstreams that leave, not those with a pause.

TestPauseBeginsWhileConnectionsOpen failed before: 5 requests reached the upstream in its pause where 1 is allowed, on all four kinds of route. The request is placed anew; the upstream is not at fault.

--- a/internal/request/relay/leaving.go
+++ b/internal/request/relay/leaving.go
@@ -27,12 +27,19 @@
 }
 
 // requireUsable returns a check that fails once one of the chosen upstreams takes no more
-// requests: it may have left while memory was reserved or the connection was opened.
+// requests, or none for now: it may have left or asked for a pause while memory was
+// reserved or the connection was opened.
 func (c *requestState) requireUsable(service snipeford.ServiceName, engines ...directory.Upstream) func() error {
 	return func() error {
 		if gone := unusable(c.View(), service, engines); len(gone) > 0 {
 			return fmt.Errorf("%w: %s", errUnknownUpstream, gone[0])
 		}
+		for _, u := range engines {
+			if c.trialTaken != u.ID && c.paused(u.ID) {
+				c.divert(u.ID)
+				return fmt.Errorf("%w: %s", errPaused, u.ID)
+			}
+		}
 		return nil
 	}
 }
--- a/internal/request/relay/pauses.go
+++ b/internal/request/relay/pauses.go
@@ -67,6 +67,8 @@
 	// trial is an upstream with a pause to which the request may be sent, since no
 	// other one can serve it.
 	trial snipeford.UpstreamID
+	// trialTaken is the upstream to which the present attempt goes as the trial of a pause.
+	trialTaken snipeford.UpstreamID
 	// turnedAway are excluded upstreams that did not run the request and asked for a
 	// pause.
 	turnedAway []snipeford.UpstreamID
@@ -135,12 +137,14 @@
 // mayUse reports whether the request may be sent to an upstream now. It takes the trial
 // of a pause.
 func (c *requestState) mayUse(id snipeford.UpstreamID) bool {
+	c.trialTaken = ""
 	if !c.paused(id) {
 		return true
 	}
 	if c.trial != id || !c.pauses.takeTrial(c.Timer.Now(), id) {
 		return false
 	}
+	c.trialTaken = id
 	c.Metrics.PauseTried()
 	c.Log.Decided("upstream tried in its pause", c.head.RequestID, "Upstream", id)
 	return true
@@ -331,6 +335,7 @@
 func (s *streamRequest) divertPlaced(p snipeford.Placement) bool {
 	id, paused := s.anyPaused(p)
 	single := len(p.Helpers) == 0 && p.ReservedMemory == 0
+	s.trialTaken = ""
 	if !paused || single && s.mayUse(id) {
 		return false
 	}
--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -52,7 +52,7 @@
 		if c.handleResponse(service, resp, err) {
 			return
 		}
-		if !errors.Is(err, connection.ErrLinkLost) {
+		if !errors.Is(err, connection.ErrLinkLost) && !errors.Is(err, errPaused) {
 			c.excluded = append(c.excluded, id)
 		}
 	}
@@ -111,10 +111,11 @@
 
 // endFailed reports an attempt without a complete response to the balancer, and returns
 // its error. If the context has ended, the caller disconnected or the deadline passed,
-// which is no fault of the upstream, nor is a link that is lost or that it leaves.
+// which is no fault of the upstream, nor is a link that is lost, a pause or that it leaves.
 func (c *requestState) endFailed(id snipeford.UpstreamID, verdict connection.Verdict, err error) error {
 	linkLost := verdict == connection.VerdictLinkLost
-	c.Balancer.Ended(id, c.ctx.Err() == nil && !linkLost && !errors.Is(err, errUnknownUpstream))
+	atFault := !linkLost && !errors.Is(err, errUnknownUpstream) && !errors.Is(err, errPaused)
+	c.Balancer.Ended(id, c.ctx.Err() == nil && atFault)
 	if linkLost && !errors.Is(err, connection.ErrLinkLost) {
 		return fmt.Errorf("%w: %w", connection.ErrLinkLost, err)
 	}
