Remove upstreams at once whose rows are removed after the store's return

An upstream that leaves without notice has its row removed and serves for two seconds from then on. For two seconds after an outage of the store, or its return from a copy, nodes kept all upstreams whose rows were removed, since rows of live upstreams may have expired meanwhile. So requests reached such an upstream for up to four seconds.

Only rows that are missing from the first response after the outage can have expired in it. Rows that are removed by later responses were there after the return; they are removed at once now, at the feeder and at the nodes that it feeds.

TestRowRemovedAfterReturnOfStore failed before in its four cases, on both nodes. TestRowExpiredInOutage and TestRowRemovedAfterOutage keep what was right.

--- a/internal/operate/edge/collections.go
+++ b/internal/operate/edge/collections.go
@@ -85,7 +85,8 @@
 func (f *follower) applyStoreRows(c snipeford.Collection, b snipeford.Batch, sent snipeford.Instant) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.applyBatch(c, b, "", f.reregisterEnd()) {
+	f.endOutage()
+	if !f.applyBatch(c, b, "", f.reregisterEnd(c)) {
 		return false
 	}
 	if c == snipeford.OperatorRows && f.confirmable() {
@@ -94,13 +95,17 @@
 	return true
 }
 
-// reregisterEnd returns until when a response of the store may lack rows of upstreams
-// that live. The caller holds mu.
-func (f *follower) reregisterEnd() snipeford.Instant {
+// endOutage records that the store has responded. The caller holds mu.
+func (f *follower) endOutage() {
 	if f.outage {
 		f.outage, f.outageEndedAt = false, f.timer.Now()
 	}
-	if f.outageEndedAt == 0 {
+}
+
+// reregisterEnd returns until when a response of the store may lack rows of upstreams
+// that live, or zero. The caller holds mu.
+func (f *follower) reregisterEnd(c snipeford.Collection) snipeford.Instant {
+	if c != snipeford.UpstreamRows || !f.mayHaveExpired {
 		return 0
 	}
 	return f.outageEndedAt.Add(directory.ReregisterPeriod)
@@ -116,7 +121,10 @@
 		return
 	}
 	// A feeder that started after the store's return does not know of it.
-	keepMissingUntil := f.reregisteredAt
+	keepMissingUntil := snipeford.Instant(0)
+	if f.mayHaveExpired {
+		keepMissingUntil = f.reregisteredAt
+	}
 	if r.KeepMissing > 0 {
 		keepMissingUntil = max(keepMissingUntil, f.timer.Now().Add(r.KeepMissing))
 	}
@@ -161,6 +169,10 @@
 		return false
 	}
 	rows.origin, rows.version, rows.loaded = origin, b.Version, true
+	if c == snipeford.UpstreamRows {
+		// Rows that are removed later were there after the outage.
+		f.mayHaveExpired = false
+	}
 	if c == snipeford.OperatorRows {
 		f.operatorRowsOrigin.Store(&origin)
 	}
--- a/internal/operate/edge/era.go
+++ b/internal/operate/edge/era.go
@@ -33,7 +33,7 @@
 	f.log.Info("store came back from a copy", "Known", known, "Received", seen)
 	f.counts.EraBegan()
 	now := f.timer.Now()
-	f.outage, f.outageEndedAt = false, now
+	f.outage, f.outageEndedAt, f.mayHaveExpired = false, now, true
 	f.reregisteredAt = now.Add(directory.ReregisterPeriod)
 	f.rewriteEnd = f.reregisteredAt
 	f.state.BeginEra(now)
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -120,6 +120,9 @@
 	// outageEndedAt is when that arrived.
 	outage        bool
 	outageEndedAt snipeford.Instant
+	// mayHaveExpired is set from a failed call until the rows of upstreams have been read
+	// again: rows of live upstreams may have expired meanwhile.
+	mayHaveExpired bool
 	// collections holds the encoded rows of each collection, for other nodes.
 	collections      map[snipeford.Collection]*rowSet
 	subscribers      map[int]func(grant.Rows)
@@ -297,7 +300,7 @@
 
 func (f *follower) recordFailure(c snipeford.Collection, err error, wasFailing bool) {
 	f.mu.Lock()
-	f.outage = true
+	f.outage, f.mayHaveExpired = true, true
 	f.mu.Unlock()
 	if !wasFailing {
 		f.log.Warn("store does not answer", err, "Collection", c)
