Take no late failure of a call for a new outage of the store

A call that waits for changes and that an outage cuts off fails up to 10.7 s later (the watch of nodes), when the store may long be back. Its failure began a new outage, whose end with the next response made rows of upstreams that are removed then count as expired: an upstream that leaves without notice still got requests for two more seconds.

A failure counts only if the store has responded to no later call. In an outage, the call that was sent last fails as well.

TestLateFailureIsNoOutage failed before on the feeder and the fed node.

--- a/internal/operate/edge/collections.go
+++ b/internal/operate/edge/collections.go
@@ -85,7 +85,7 @@
 func (f *follower) applyStoreRows(c snipeford.Collection, b snipeford.Batch, sent snipeford.Instant) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.endOutage()
+	f.endOutage(sent)
 	if !f.applyBatch(c, b, "", f.reregisterEnd(c)) {
 		return false
 	}
@@ -95,8 +95,10 @@
 	return true
 }
 
-// endOutage records that the store has responded. The caller holds mu.
-func (f *follower) endOutage() {
+// endOutage records that the store has responded to a call that was sent at sent. The
+// caller holds mu.
+func (f *follower) endOutage(sent snipeford.Instant) {
+	f.lastResponded = max(f.lastResponded, sent)
 	if f.outage {
 		f.outage, f.outageEndedAt = false, f.timer.Now()
 	}
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -120,6 +120,8 @@
 	// outageEndedAt is when that arrived.
 	outage        bool
 	outageEndedAt snipeford.Instant
+	// lastResponded is when the latest call with a response was sent.
+	lastResponded snipeford.Instant
 	// mayHaveExpired is set from a failed call until the rows of upstreams have been read
 	// again: rows of live upstreams may have expired meanwhile.
 	mayHaveExpired bool
@@ -191,7 +193,7 @@
 	case errors.Is(err, snipeford.ErrHistoryGone):
 		f.historyGone(ctx, w, known, batch.Era)
 	case err != nil:
-		f.recordFailure(w.collection, err, w.failing)
+		f.recordFailure(w.collection, err, w.failing, sent)
 		w.failing = true
 		f.setOperatorRowsFailed(w.collection, true)
 		f.backOff(ctx, w)
@@ -298,9 +300,13 @@
 	return backoff
 }
 
-func (f *follower) recordFailure(c snipeford.Collection, err error, wasFailing bool) {
+// recordFailure records a failed call that was sent at sent. If the store has responded to
+// a later one, the failure tells nothing about its state since.
+func (f *follower) recordFailure(c snipeford.Collection, err error, wasFailing bool, sent snipeford.Instant) {
 	f.mu.Lock()
-	f.outage, f.mayHaveExpired = true, true
+	if sent > f.lastResponded {
+		f.outage, f.mayHaveExpired = true, true
+	}
 	f.mu.Unlock()
 	if !wasFailing {
 		f.log.Warn("store does not answer", err, "Collection", c)
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -240,7 +240,7 @@
 	f.applyBatch(snipeford.UpstreamRows, snipeford.Batch{Snapshot: true, Version: 6, Changes: row}, "", 0)
 	other := &follower{decoder: jsonDecoder{}, timer: f.timer, tracker: &freshness.Tracker{}, log: f.log, onChange: func(*directory.View) {}}
 	defer f.subscribe(nil, other.applyPeerRows)()
-	f.recordFailure(snipeford.UpstreamRows, snipeford.ErrUnavailable, false)
+	f.recordFailure(snipeford.UpstreamRows, snipeford.ErrUnavailable, false, f.timer.SinceBoot())
 	f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Version: 7, Changes: []snipeford.Change{{Key: "u", Removed: true}}}, f.timer.SinceBoot())
 	for name, one := range map[string]*follower{"feeder": f, "fed": other} {
 		if got := len(one.current().Usable["s"]); got != 1 {
@@ -377,7 +377,7 @@
 		defer f.subscribe(nil, fed.applyPeerRows)()
 		row := []snipeford.Change{{Key: "u", Value: []byte(`{"Service":"s"}`)}}
 		f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Snapshot: true, Version: 1, Changes: row}, 0)
-		f.recordFailure(snipeford.OperatorRows, snipeford.ErrUnavailable, false)
+		f.recordFailure(snipeford.OperatorRows, snipeford.ErrUnavailable, false, f.timer.SinceBoot())
 		time.Sleep(time.Second)
 		f.applyStoreRows(snipeford.OperatorRows, snipeford.Batch{Version: 2}, 0)
 		time.Sleep(1900 * time.Millisecond)
--- a/internal/operate/edge/leaving_test.go
+++ b/internal/operate/edge/leaving_test.go
@@ -39,7 +39,7 @@
 		}
 		f.applyStoreRows(snipeford.UpstreamRows, upstreamSnapshot(1, 1000), f.timer.SinceBoot())
 		assertUsable("before", 2)
-		f.recordFailure(snipeford.UpstreamRows, snipeford.ErrUnavailable, false)
+		f.recordFailure(snipeford.UpstreamRows, snipeford.ErrUnavailable, false, f.timer.SinceBoot())
 		published = 0
 		added := f.markLeaving([]snipeford.LeavingUpstream{{Upstream: "u1", Incarnation: "1"}})
 		if len(added) != 1 || published != 1 {
--- a/internal/operate/edge/removed_rows_test.go
+++ b/internal/operate/edge/removed_rows_test.go
@@ -27,7 +27,7 @@
 
 // fail records a failed call, after which the next response ends an outage.
 func (f *follower) fail() {
-	f.recordFailure(snipeford.OperatorRows, snipeford.ErrUnavailable, false)
+	f.recordFailure(snipeford.OperatorRows, snipeford.ErrUnavailable, false, f.timer.SinceBoot())
 }
 
 // TestRowRemovedAfterReturnOfStore guards against requests to an upstream that leaves
@@ -72,3 +72,19 @@
 		assertUsable(t, 1, f, fed)
 	})
 }
+
+// TestLateFailureIsNoOutage guards against requests to an upstream that leaves without
+// notice, because a call that the outage had cut off failed after the store's return.
+func TestLateFailureIsNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f, fed := newFeederPair(t, 0)
+		sentInOutage := f.timer.SinceBoot()
+		f.fail()
+		time.Sleep(time.Second)
+		f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Version: 2}, f.timer.SinceBoot())
+		time.Sleep(3 * time.Second)
+		f.recordFailure(snipeford.MemberRows, snipeford.ErrUnavailable, false, sentInOutage)
+		f.applyStoreRows(snipeford.UpstreamRows, snipeford.Batch{Version: 3, Changes: removedRow}, f.timer.SinceBoot())
+		assertUsable(t, 0, f, fed)
+	})
+}
