Read the rows of upstreams soon after the store has dropped its history

An upstream that leaves got requests for more than two seconds from nodes whose feeder had lost the store while it dropped its history: they waited two seconds for the feeder before they read the rows of upstreams themselves. The operators' rows had been mended before, the same delay for those of upstreams had not.

Rows of nodes keep the long delay.

--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -29,8 +29,7 @@
 	operatorWatchFraction    = 0.5
 	maxFeedStalenessFraction = 0.7
 	// snapshotSpreadFraction is the part of the configuration bound over which nodes
-	// spread their snapshots of the operators' rows when the store has dropped its
-	// history.
+	// spread their snapshots when the store has dropped its history.
 	snapshotSpreadFraction = 0.1
 	// upstreamWatchTimeout is the same for upstreams. A dead connection is detected
 	// within this time.
@@ -94,7 +93,7 @@
 	membersRead chan struct{}
 
 	// snapshotSpread is the time over which nodes behind a feeder spread their snapshots of
-	// the operators' rows. Zero means that they wait for minBackoffWithFeeder.
+	// the rows of operators and of upstreams. Zero means that they wait for minBackoffWithFeeder.
 	snapshotSpread time.Duration
 
 	// operatorRowsFailed reports whether the last call for the operator rows failed.
@@ -222,10 +221,11 @@
 }
 
 // snapshotDelay returns how long a node behind a responding feeder waits before it reads a
-// snapshot itself. The operators' rows have to be read within the configuration bound,
-// although the feeder may have lost the store; the calls of many nodes are spread.
+// snapshot itself. The operators' rows have to be read within the configuration bound, and
+// those of upstreams before one that leaves must get no more requests, although the feeder
+// may have lost the store; the calls of many nodes are spread.
 func (f *follower) snapshotDelay(c snipeford.Collection) time.Duration {
-	if c != snipeford.OperatorRows || f.snapshotSpread == 0 {
+	if c == snipeford.MemberRows || f.snapshotSpread == 0 {
 		return minBackoffWithFeeder
 	}
 	return rand.N(f.snapshotSpread)
--- a/internal/operate/edge/follower_test.go
+++ b/internal/operate/edge/follower_test.go
@@ -318,22 +318,31 @@
 }
 
 // TestHistoryGoneBehindCutFeeder guards against a node whose feeder has lost the store and
-// that reads a snapshot only after the configuration bound, and against snapshots of many
-// such nodes at once.
+// that reads a snapshot only after the configuration bound, or after upstreams that leave
+// must get no more requests, and against snapshots of many such nodes at once.
 func TestHistoryGoneBehindCutFeeder(t *testing.T) {
+	for _, c := range []snipeford.Collection{snipeford.OperatorRows, snipeford.UpstreamRows} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) { assertSnapshotsAreSpread(t, c) })
+	}
+}
+
+// assertSnapshotsAreSpread checks the snapshots of a collection that nodes read whose feeder
+// has lost the store.
+func assertSnapshotsAreSpread(t *testing.T, c snipeford.Collection) {
+	t.Helper()
 	const nodes, spread, window, maxAtOnce = 60, 400 * time.Millisecond, 20 * time.Millisecond, 15
 	synctest.Test(t, func(t *testing.T) {
 		var group sync.WaitGroup
 		delays := make([]time.Duration, nodes)
 		for i := range nodes {
-			feed := &timedFeed{scriptedFeed: scriptedFeed{responses: []response{{batch: snapshotOf(0, 5, 1)}, {err: snipeford.ErrHistoryGone}, {batch: snapshotOf(0, 9, 2)}}}}
+			feed := &timedFeed{scriptedFeed: scriptedFeed{responses: []response{{batch: snipeford.Batch{Snapshot: true, Version: 5}}, {err: snipeford.ErrHistoryGone}, {batch: snipeford.Batch{Snapshot: true, Version: 9}}}}}
 			f := newFollower(feed)
 			feed.clock, f.snapshotSpread = f.timer, spread
 			f.feederHealthy, f.hasFreshRows = func() bool { return true }, func() bool { return false }
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			group.Go(func() {
-				_ = f.follow(ctx, snipeford.OperatorRows, time.Second)
+				_ = f.follow(ctx, c, time.Second)
 				delays[i] = time.Hour
 				if len(feed.snapshots) > 1 {
 					delays[i] = feed.snapshots[1].Sub(feed.snapshots[0])
