--- a/cmd/standin/soak/config_history.go
+++ b/cmd/standin/soak/config_history.go
@@ -153,6 +153,17 @@
 	return index
 }
 
+// ranOld reports whether the node ran the program of an earlier build at a time.
+func (n *node) ranOld(oldProgram string, at snipeford.Instant) bool {
+	old := false
+	for _, d := range n.disturbed.all() {
+		if d.signal == 0 && d.at <= at {
+			old = oldProgram != "" && d.program == oldProgram
+		}
+	}
+	return old
+}
+
 func (n *node) setProgram(program string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/cmd/standin/soak/stops.go
+++ b/cmd/standin/soak/stops.go
@@ -90,6 +90,11 @@
 // configure writes new versions, which add and remove a route that clients do not use.
 func configure(ctx context.Context, f *fleet, rng *rand.Rand) {
 	for range 1 + rng.IntN(3) {
+		if f.operator != nil {
+			f.operator.change(rng)
+			sleepRandom(ctx, rng, 20, 500)
+			continue
+		}
 		configuration, err := standin.Configuration(int(f.configurationVersion.Add(1)), host)
 		if err == nil {
 			f.store.Put("op", "config", configuration)
--- a/cmd/standin/verb/soak.go
+++ b/cmd/standin/verb/soak.go
@@ -28,7 +28,7 @@
 
 func (v *soakVerb) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&v.plan.Program, "snipeford", "bin/snipeford", "path of the snipeford program")
-	f.StringVar(&v.plan.OldProgram, "old", "", "path of the snipeford program of an earlier build, which half of the nodes of variant config start with")
+	f.StringVar(&v.plan.OldProgram, "old", "", "path of the snipeford program of an earlier build, which half of the nodes start with")
 	f.Uint64Var(&v.firstSeed, "first", 0, "first seed; 0 chooses one at random")
 	f.Uint64Var(&v.seedCount, "seeds", 3, "number of seeds")
 	f.DurationVar(&v.plan.Duration, "length", 8*time.Second, "duration of requests and faults for each seed")
