Count a pause for the node that carries a request as well

An upstream sees the node from which the connection comes. If node A sends through node B and the upstream answers 503 with Retry-After, it has asked B for a pause; only A read that. B went on to send its own requests there, and to carry those of other nodes.

A node carries no detours to an upstream that has asked it for a pause.

--- a/internal/fleet/detour/detour_test.go
+++ b/internal/fleet/detour/detour_test.go
@@ -209,6 +209,39 @@
 	}
 }
 
+// pauses is a stub of the pauses that were asked of a gate's node.
+type pauses map[snipeford.UpstreamID]time.Duration
+
+func (p pauses) KeepPause(id snipeford.UpstreamID, d time.Duration) { p[id] = d }
+func (p pauses) Paused(id snipeford.UpstreamID) bool                { return p[id] > 0 }
+
+// TestPauseThroughGate guards against requests that several nodes send through one that an
+// upstream has asked for a pause.
+func TestPauseThroughGate(t *testing.T) {
+	upstream := listen(t, respondAndClose)
+	g := newGate(upstream, &upstreams{})
+	g.Pauses = pauses{}
+	c := newClient(upstream, peerAt("p", listen(t, serveGate(g))))
+	assertOpens := func(want bool) {
+		t.Helper()
+		conn, _, err := c.Open(t.Context(), upstream)
+		if got := err == nil; got != want {
+			t.Errorf("got opened %t (%v), want %t", got, err, want)
+		}
+		if err == nil {
+			_ = conn.Close()
+		}
+	}
+	assertOpens(true)
+	if err := c.TellPause(t.Context(), "p", "i", 2*time.Second); err != nil {
+		t.Fatal(err)
+	}
+	if got := g.Pauses.(pauses)["i"]; got != 2*time.Second {
+		t.Errorf("got a pause of %v, want 2 s", got)
+	}
+	assertOpens(false)
+}
+
 // TestNodeWhoseLinksAreBack guards against requests that are refused although the links of
 // a node that was cut off are back, before its probes have found that out.
 func TestNodeWhoseLinksAreBack(t *testing.T) {
--- a/internal/fleet/detour/gate.go
+++ b/internal/fleet/detour/gate.go
@@ -26,6 +26,14 @@
 	CutOff() bool
 }
 
+// Pauses keeps the pauses that upstreams have asked of a node.
+type Pauses interface {
+	// KeepPause records that an upstream wants no requests from the node for d.
+	KeepPause(id snipeford.UpstreamID, d time.Duration)
+	// Paused reports whether an upstream wants no requests from the node.
+	Paused(id snipeford.UpstreamID) bool
+}
+
 const (
 	// maxOpen is the number of connections that a gate carries at most, and
 	// maxOpenPerNode those for one node. A connection takes three buffers of
@@ -44,6 +52,9 @@
 	Upstreams Upstreams
 	// OnOpen, if not nil, is called for each connection that the gate carries.
 	OnOpen func()
+	// Pauses holds the pauses that upstreams have asked of the gate's node. Nil means that
+	// there are none, and that none is kept.
+	Pauses Pauses
 
 	leaving atomic.Bool
 	mu      sync.Mutex
@@ -63,6 +74,10 @@
 
 // Serve serves the connection of a node that has sent a request, until it is closed.
 func (g *Gate) Serve(ctx context.Context, peer net.Conn, request Request) {
+	if request.Pause > 0 {
+		g.respond(peer, g.keepPause(request))
+		return
+	}
 	if !g.enter(request.Node) {
 		g.respond(peer, replyBusy)
 		return
@@ -105,6 +120,19 @@
 	}
 }
 
+// keepPause keeps the pause of a request.
+func (g *Gate) keepPause(request Request) reply {
+	v := g.View()
+	if _, ok := v.Peers[request.Node]; !ok || g.Pauses == nil {
+		return replyUnknown
+	}
+	if _, known := addressOf(v, request.Upstream); !known {
+		return replyUnknown
+	}
+	g.Pauses.KeepPause(request.Upstream, request.Pause)
+	return replyNoted
+}
+
 // connect connects to the upstream of a request.
 func (g *Gate) connect(ctx context.Context, request Request) (net.Conn, reply) {
 	v := g.View()
@@ -112,6 +140,9 @@
 	if _, ok := v.Peers[request.Node]; !ok || !known {
 		return nil, replyUnknown
 	}
+	if g.Pauses != nil && g.Pauses.Paused(request.Upstream) {
+		return nil, replyBusy
+	}
 	// The links of a node that is cut off may be back. If they are not, its failure tells
 	// nothing about the upstream.
 	upstream, err := g.Upstreams.Lend(ctx, address, gateDialTimeout)
--- a/internal/operate/edge/detours.go
+++ b/internal/operate/edge/detours.go
@@ -4,7 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"time"
 
+	"snipeford"
 	"snipeford/internal/control/directory"
 	"snipeford/internal/fleet/detour"
 	"snipeford/internal/upstream/connection"
@@ -16,11 +18,23 @@
 	n.pool.OnOpen = func(string) { n.counts.ConnectionOpened() }
 	n.pool.OnCutOff = n.cutOffChanged
 	n.pool.Known = func() []string { return addresses(n.follower.current()) }
-	n.pool.Detours = &detour.Client{Self: n.self, Timer: n.timer, View: n.follower.current, Dial: connection.Dial}
+	n.detours = &detour.Client{Self: n.self, Timer: n.timer, View: n.follower.current, Dial: connection.Dial}
+	n.pool.Detours = n.detours
 	n.gate.Timer, n.gate.View, n.gate.Upstreams, n.gate.OnOpen = n.timer, n.follower.current, n.pool, n.counts.DetourCarried
 	n.peerServer.Detour = n.serveDetour
 }
 
+// initPauses connects the relay, which keeps the pauses that upstreams ask for, with the
+// detours of this node and of others.
+func (n *Node) initPauses() {
+	n.gate.Pauses = n.relay
+	n.relay.TellPause = func(through snipeford.NodeID, id snipeford.UpstreamID, d time.Duration) {
+		if err := n.detours.TellPause(context.Background(), through, id, d); err != nil {
+			n.log.Warn("cannot tell a node of a pause", err, "Peer", through, "Upstream", id)
+		}
+	}
+}
+
 // serveDetour serves a connection that is to lead to an upstream. Without DetectDead, an
 // engine would go on working for a node that is gone.
 func (n *Node) serveDetour(ctx context.Context, c net.Conn, r detour.Request) {
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -104,6 +104,7 @@
 	relay      *relay.Server
 	pool       *connection.Pool
 	gate       detour.Gate
+	detours    *detour.Client
 	self       directory.Peer
 	platform   Platform
 	// quarantines holds the latest decisions on prefix parts that are not stored yet.
@@ -158,6 +159,7 @@
 		DrainTimeout:   s.StopGrace - killMargin - lastResponseTime,
 	}
 	n.initLeaving()
+	n.initPauses()
 	return n
 }
 
--- a/internal/request/relay/pauses.go
+++ b/internal/request/relay/pauses.go
@@ -51,6 +51,19 @@
 	return p.keeper.TakeTrial(now, ownNode, id)
 }
 
+// KeepPause records that an upstream wants no requests from this node for d.
+func (s *Server) KeepPause(id snipeford.UpstreamID, d time.Duration) {
+	if s.pauses.report(s.Timer.Now(), id, d) {
+		s.Metrics.PauseBegan()
+		s.Log.Info("upstream asks for a pause, as another node tells", "Upstream", id, "PauseMs", d.Milliseconds())
+	}
+}
+
+// Paused reports whether an upstream wants no requests from this node now.
+func (s *Server) Paused(id snipeford.UpstreamID) bool {
+	return s.pauses.left(s.Timer.Now(), id) > 0
+}
+
 // PauseMetrics records the pauses that upstreams ask for.
 type PauseMetrics interface {
 	// PauseBegan records that an upstream wants no requests from this node for a time.
@@ -102,6 +115,9 @@
 	if d <= 0 {
 		return
 	}
+	if x.Through != "" && c.TellPause != nil {
+		go c.TellPause(x.Through, id, d)
+	}
 	c.keepPause(service, id, d)
 	if x.Decoded.NotRun {
 		c.turnedAway = append(c.turnedAway, id)
@@ -130,9 +146,7 @@
 	return errors.Is(err, errPaused) || errors.As(err, &unavailable)
 }
 
-func (c *requestState) paused(id snipeford.UpstreamID) bool {
-	return c.pauses.left(c.Timer.Now(), id) > 0
-}
+func (c *requestState) paused(id snipeford.UpstreamID) bool { return c.Paused(id) }
 
 // mayUse reports whether the request may be sent to an upstream now. It takes the trial
 // of a pause.
