Keep a pause for all upstreams whose rows have the address

The node was out of touch with the store and knew two rows with one address: that of a replica that was gone and that of its successor. The successor asked for a pause; the next requests went to the other name. They were turned away with 421, but had reached the replica in its pause.

A pause is now kept for each upstream, of any service, whose row has the same address. TestPauseOfAddressWithTwoRows failed before: three requests under the other name where none is allowed.

--- a/internal/request/relay/pauses.go
+++ b/internal/request/relay/pauses.go
@@ -109,7 +109,8 @@
 }
 
 // keepPauses records the pause that a response asks for. If the response names another
-// upstream at fault, that one gets no requests either.
+// upstream at fault, that one gets no requests either, nor does one whose row has the same
+// address: what is sent to it reaches the upstream that responded.
 func (c *requestState) keepPauses(service snipeford.ServiceName, id snipeford.UpstreamID, x *connection.Exchange) {
 	d := x.Decoded.Directives.RetryAfter
 	if d <= 0 {
@@ -122,10 +123,14 @@
 	if x.Decoded.NotRun {
 		c.turnedAway = append(c.turnedAway, id)
 	}
-	for _, u := range c.view.Usable[service] {
-		if u.ID != id && x.Decoded.FaultAddress != "" && u.Address == x.Decoded.FaultAddress {
-			c.keepPause(service, u.ID, d)
-			c.turnedAway = append(c.turnedAway, u.ID)
+	upstream, _ := c.findUpstream(service, id)
+	for name, list := range c.view.Usable {
+		for _, u := range list {
+			atFault := name == service && x.Decoded.FaultAddress != "" && u.Address == x.Decoded.FaultAddress
+			if u.ID != id && (atFault || u.Address == upstream.Address) {
+				c.keepPause(name, u.ID, d)
+				c.turnedAway = append(c.turnedAway, u.ID)
+			}
 		}
 	}
 }
--- a/internal/request/relay/pauses_opening_test.go
+++ b/internal/request/relay/pauses_opening_test.go
@@ -112,3 +112,31 @@
 		})
 	}
 }
+
+// TestPauseOfAddressWithTwoRows guards against requests to an upstream in its pause under the
+// name of the one that had its address before, whose row is still there. The upstream turns
+// them away as misdirected, but they reach it.
+func TestPauseOfAddressWithTwoRows(t *testing.T) {
+	for path := range pauseRoutes {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			h, _ := newPauseHarness(t, func(c net.Conn, r *http.Request) {
+				if r.Header.Get("Upstream") == "a" {
+					respondPause("3600")(c, r)
+					return
+				}
+				respondStatus(421, "Not-Run: 1\r\n")(c, r)
+			}, respondOK("unused"))
+			view := *h.relay.View()
+			list := append([]directory.Upstream(nil), view.Usable["s"]...)
+			list[1].Address = list[0].Address
+			view.Usable = map[snipeford.ServiceName][]directory.Upstream{"s": list}
+			h.relay.View = func() *directory.View { return &view }
+			for range 3 {
+				assertResponse(t, h.call(t, http.MethodPost, path), 503, "")
+			}
+			assertSentTo(t, h, "a", 1)
+			assertSentTo(t, h, "b", 0)
+		})
+	}
+}
