Refuse requests soon if no node opens a connection for them

The pool does not count the node as without a way while anything is received over open connections.

A request that has not been sent is now given up once no connection could be opened to three upstreams in a second. The three are those after which the pool counts a node as without a way, so that a service in which one or two replicas are silent is still served by the others.

--- a/internal/request/relay/plain.go
+++ b/internal/request/relay/plain.go
@@ -78,10 +78,13 @@
 	if err != nil {
 		var f *connection.ExchangeError
 		verdict := connection.VerdictUnknown
-		if errors.As(err, &f) && f.Sent {
+		switch {
+		case errors.As(err, &f) && f.Sent:
 			c.possibleRuns++
 			c.countReceipt()
 			verdict = c.checkCrash(service, id, err, sentAt)
+		case !errors.Is(err, errUnknownUpstream) && !errors.Is(err, errPaused):
+			c.countUnreached(sentAt)
 		}
 		c.reportWatched(service, false, sentAt)
 		return nil, c.endFailed(id, verdict, err)
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -231,6 +231,10 @@
 	suspected *refusal
 	// unreachable is set if no upstream is reachable at all.
 	unreachable bool
+	// unreached counts the upstreams to which no connection could be opened, and
+	// unreachedFor is the time that this took.
+	unreached    int
+	unreachedFor time.Duration
 }
 
 // ServeHTTP handles one request.
@@ -384,8 +388,26 @@
 	c.servePlain(service)
 }
 
-// noWay reports whether no node reaches an upstream of a service.
+const (
+	// A request that has not been sent is given up once no connection could be opened to
+	// minUnreached upstreams and that took maxUnreachedTime. The nodes asked for detours may
+	// be cut off themselves.
+	minUnreached     = 3
+	maxUnreachedTime = time.Second
+)
+
+// countUnreached records that no connection to an upstream could be opened since an instant.
+func (c *requestState) countUnreached(since snipeford.Instant) {
+	c.unreached++
+	c.unreachedFor += c.Timer.Now().Sub(since)
+}
+
+// noWay reports whether no node reaches an upstream of a service, as far as is known or
+// as the request has found out.
 func (c *requestState) noWay(service snipeford.ServiceName) bool {
+	if c.possibleRuns == 0 && c.unreached >= minUnreached && c.unreachedFor >= maxUnreachedTime {
+		return true
+	}
 	return c.Pool.NoWay(addressesOf(c.view, service))
 }
 
--- a/internal/request/relay/stream.go
+++ b/internal/request/relay/stream.go
@@ -323,10 +323,11 @@
 		s.endBroken(p, err, 0)
 		return false
 	}
-	s.reportEnd(p, s.ctx.Err() == nil && !upstreamNotAtFault && !s.noWay(s.service), "")
 	if !upstreamNotAtFault {
+		s.countUnreached(s.attemptStart)
 		s.exclude(p, "")
 	}
+	s.reportEnd(p, s.ctx.Err() == nil && !upstreamNotAtFault && !s.noWay(s.service), "")
 	return false
 }
 
