Count the served share of cuts while some node reaches the replicas

The trace: all four nodes are without links from 1.5 to 4.6 s and, with stops and freezes, for most of the other five seconds. Refusals take a fraction of a second and are repeated, so that they are most of what is sent.

The bound is for faults of one of several nodes or replicas. countCut left out what nothing helps; the share did not. It does now, and prints both figures.

--- a/cmd/standin/soak/cut.go
+++ b/cmd/standin/soak/cut.go
@@ -280,6 +280,23 @@
 	return c
 }
 
+// countReaching counts the requests beside which some node reached the replicas, and those
+// of them that were served.
+func (f *fleet) countReaching(r *Report) served {
+	var reaching, none served
+	for _, e := range r.exchanges {
+		switch {
+		case e.left > 0:
+		case f.noneReaches(e.sent, e.ended):
+			none.add(e.isServed())
+		default:
+			reaching.add(e.isServed())
+		}
+	}
+	r.addRemark("served while a node reached the replicas: %v, while none did: %v", reaching, none)
+	return reaching
+}
+
 // noneReaches reports whether at the beginning or the end of a period, or shortly before,
 // no node that had all its links was running.
 func (f *fleet) noneReaches(from, until snipeford.Instant) bool {
--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -165,6 +165,9 @@
 	switch f.plan.Variant {
 	case Config:
 		return
+	case CutOff:
+		reaching := f.countReaching(r)
+		sent, completed = reaching.sent, reaching.begun
 	case Limit:
 		sent, completed = f.countInTouch(r)
 	}
