Check the era that a peer tells with the store

The era is still used at once, since a node without a path to the store knows only its peers. One call asks the store for it, although the feeder's rows are fresh; the response to a later call with an earlier era refutes it. TestEraThatOnlyPeerTells and TestToldEraIsChecked guard it; before, the response to the later call was ignored.

--- a/internal/operate/edge/collections.go
+++ b/internal/operate/edge/collections.go
@@ -86,6 +86,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.endOutage(sent)
+	f.checkTold(b.Era, sent)
 	if !f.applyBatch(c, b, "", f.reregisterEnd(c)) {
 		return false
 	}
@@ -163,6 +164,9 @@
 func (f *follower) applyBatch(c snipeford.Collection, b snipeford.Batch, feeder snipeford.NodeID, keepMissingUntil snipeford.Instant) bool {
 	origin := directory.Origin{Feeder: feeder, Era: b.Era, Version: b.Version}
 	if b.Era > f.era {
+		if feeder != "" && f.told.isRefuted(b.Era) {
+			return false
+		}
 		f.beginEra(origin)
 		keepMissingUntil = max(keepMissingUntil, f.reregisteredAt)
 	}
--- a/internal/operate/edge/era.go
+++ b/internal/operate/edge/era.go
@@ -15,15 +15,8 @@
 // force meanwhile. The caller holds mu.
 func (f *follower) beginEra(seen directory.Origin) {
 	known, first := f.operatorOrigin(), f.era == 0
-	for _, r := range f.collections {
-		r.loaded, r.version, r.changedAt = false, 0, 0
-	}
-	f.era = seen.Era
-	f.setForwarded()
-	if f.endEra != nil {
-		f.endEra()
-	}
-	f.eraContext, f.endEra = context.WithCancel(context.Background())
+	f.noteTold(seen)
+	f.readAnew(seen.Era)
 	if first {
 		// The node has just started, or the store has begun to state eras. A return from a
 		// copy may have been shortly before; peers that know more respond within this time.
@@ -39,6 +32,20 @@
 	f.state.BeginEra(now)
 }
 
+// readAnew sets the era, and has all collections read again, beginning with a snapshot. The
+// caller holds mu.
+func (f *follower) readAnew(era snipeford.Era) {
+	for _, r := range f.collections {
+		r.loaded, r.version, r.changedAt = false, 0, 0
+	}
+	f.era = era
+	f.setForwarded()
+	if f.endEra != nil {
+		f.endEra()
+	}
+	f.eraContext, f.endEra = context.WithCancel(context.Background())
+}
+
 // learnEra begins an era that a response without rows states. It reports whether the era
 // is new.
 func (f *follower) learnEra(era snipeford.Era) bool {
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -107,6 +107,8 @@
 	era        snipeford.Era
 	eraContext context.Context
 	endEra     context.CancelFunc
+	// told is the era that a peer has told and that the store has not stated yet.
+	told toldEra
 	// rewriteEnd is until when operators may still write again what a copy of the store
 	// lacks.
 	rewriteEnd snipeford.Instant
@@ -167,7 +169,7 @@
 	for ctx.Err() == nil {
 		wasFromFeeder := w.fromFeeder
 		w.fromFeeder = f.hasFreshRows != nil && f.hasFreshRows()
-		if w.fromFeeder || f.waitsForOperatorRows(c, wasFromFeeder) {
+		if (w.fromFeeder || f.waitsForOperatorRows(c, wasFromFeeder)) && !f.eraCheckDue(c) {
 			f.timer.Sleep(ctx, feederCheckInterval)
 			w.needsSnapshot, w.immediate = false, true
 			continue
