--- a/internal/fleet/detour/client.go
+++ b/internal/fleet/detour/client.go
@@ -108,25 +108,6 @@
 	return nil
 }
 
-// TellPause tells a node that an upstream wants no requests from it for d, as it has stated
-// in a response through that node.
-func (c *Client) TellPause(ctx context.Context, node snipeford.NodeID, id snipeford.UpstreamID, d time.Duration) error {
-	p, found := c.View().Peers[node]
-	if !found {
-		return fmt.Errorf("%w: %s is not known", snipeford.ErrNoDetour, node)
-	}
-	conn, err := c.Dial(ctx, p.Address, peerDialTimeout)
-	if err != nil {
-		return fmt.Errorf("%w: connect to %s: %w", snipeford.ErrNoDetour, node, err)
-	}
-	// A node of an earlier version has opened a connection to the upstream, and closes it.
-	defer conn.Close()
-	if _, err := c.exchange(conn, Request{Node: c.Self.Node, Upstream: id, Pause: d}); err != nil {
-		return fmt.Errorf("tell %s of a pause: %w", node, err)
-	}
-	return nil
-}
-
 // next waits for the next result, at most for staggerDelay if another node can be asked.
 func (c *Client) next(ctx context.Context, results <-chan asked, more bool) (asked, bool) {
 	if !more {
--- a/internal/fleet/detour/detour.go
+++ b/internal/fleet/detour/detour.go
@@ -17,15 +17,11 @@
 	"snipeford"
 )
 
-// Request asks another node for a connection to an upstream, or tells it of a pause.
+// Request asks another node for a connection to an upstream.
 type Request struct {
 	// Node is the node that asks.
 	Node     snipeford.NodeID
 	Upstream snipeford.UpstreamID
-	// Pause is how long the upstream wants no requests from the other node, as it has
-	// stated in a response through that node, or 0. No connection is opened then. Nodes of
-	// earlier versions ignore it, and open one.
-	Pause time.Duration `json:",omitempty"`
 }
 
 // reply is the response of a gate.
@@ -42,8 +38,6 @@
 	// asked for a pause by the upstream.
 	replyUnknown reply = 'n'
 	replyBusy    reply = 'b'
-	// replyNoted means that the gate keeps the pause of the request.
-	replyNoted reply = 'p'
 )
 
 // err returns the error that a reply stands for.
--- a/internal/fleet/detour/detour_test.go
+++ b/internal/fleet/detour/detour_test.go
@@ -7,7 +7,9 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -210,36 +212,76 @@
 }
 
 // pauses is a stub of the pauses that were asked of a gate's node.
-type pauses map[snipeford.UpstreamID]time.Duration
+type pauses struct {
+	mu   sync.Mutex
+	kept time.Duration
+}
+
+func (p *pauses) KeepPause(_ snipeford.UpstreamID, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.kept = d
+}
 
-func (p pauses) KeepPause(id snipeford.UpstreamID, d time.Duration) { p[id] = d }
-func (p pauses) Paused(id snipeford.UpstreamID) bool                { return p[id] > 0 }
+func (p *pauses) left() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.kept
+}
+
+func (p *pauses) Paused(snipeford.UpstreamID) bool { return p.left() > 0 }
 
 // TestPauseThroughGate guards against requests that several nodes send through one that an
 // upstream has asked for a pause.
 func TestPauseThroughGate(t *testing.T) {
-	upstream := listen(t, respondAndClose)
-	g := newGate(upstream, &upstreams{})
-	g.Pauses = pauses{}
-	c := newClient(upstream, peerAt("p", listen(t, serveGate(g))))
-	assertOpens := func(want bool) {
-		t.Helper()
-		conn, _, err := c.Open(t.Context(), upstream)
-		if got := err == nil; got != want {
-			t.Errorf("got opened %t (%v), want %t", got, err, want)
-		}
-		if err == nil {
-			_ = conn.Close()
-		}
-	}
-	assertOpens(true)
-	if err := c.TellPause(t.Context(), "p", "i", 2*time.Second); err != nil {
-		t.Fatal(err)
-	}
-	if got := g.Pauses.(pauses)["i"]; got != 2*time.Second {
-		t.Errorf("got a pause of %v, want 2 s", got)
+	const asks = "HTTP/1.1 503 Unavailable\r\nRetry-After: 2\r\n\r\n"
+	for name, tt := range map[string]struct {
+		response string
+		want     time.Duration
+	}{
+		"pause":                        {asks, 2 * time.Second},
+		"pause after informational":    {"HTTP/1.1 103 Early\r\n\r\n" + asks, 2 * time.Second},
+		"served":                       {"HTTP/1.1 200 OK\r\nRetry-After: 2\r\n\r\n", 0},
+		"unavailable without a pause":  {"HTTP/1.1 503 Unavailable\r\n\r\n", 0},
+		"head in a body":               {"HTTP/1.1 200 OK\r\n\r\n" + asks, 0},
+		"no response":                  {"unreadable\r\n\r\n" + asks, 0},
+		"head beyond the watched size": {"HTTP/1.1 503 X\r\nA: " + strings.Repeat("a", 9000) + "\r\nRetry-After: 2\r\n\r\n", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			upstream := listen(t, func(c net.Conn) {
+				_, _ = bufio.NewReader(c).ReadBytes('\n')
+				_, _ = io.WriteString(c, tt.response)
+				_ = c.Close()
+			})
+			g := newGate(upstream, &upstreams{})
+			kept := &pauses{}
+			g.Pauses, g.RetryAfter = kept, func(status int, h http.Header) time.Duration {
+				if status != http.StatusServiceUnavailable || h.Get("Retry-After") != "2" {
+					return 0
+				}
+				return 2 * time.Second
+			}
+			client := newClient(upstream, peerAt("p", listen(t, serveGate(g))))
+			c, _, err := client.Open(t.Context(), upstream)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got, err := exchange(t, c); err != nil || got != tt.response {
+				t.Errorf("got %q, %v, want the response", got, err)
+			}
+			_ = c.Close()
+			if got := kept.left(); got != tt.want {
+				t.Errorf("got a pause of %v, want %v", got, tt.want)
+			}
+			c, _, err = client.Open(t.Context(), upstream)
+			if got, want := err == nil, tt.want == 0; got != want {
+				t.Errorf("got opened %t (%v), want %t", got, err, want)
+			}
+			if err == nil {
+				_ = c.Close()
+			}
+		})
 	}
-	assertOpens(false)
 }
 
 // TestNodeWhoseLinksAreBack guards against requests that are refused although the links of
--- a/internal/fleet/detour/gate.go
+++ b/internal/fleet/detour/gate.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -52,9 +53,11 @@
 	Upstreams Upstreams
 	// OnOpen, if not nil, is called for each connection that the gate carries.
 	OnOpen func()
-	// Pauses holds the pauses that upstreams have asked of the gate's node. Nil means that
-	// there are none, and that none is kept.
-	Pauses Pauses
+	// Pauses holds the pauses that upstreams have asked of the gate's node, and RetryAfter
+	// returns the one that the head of a response asks for, or 0. An upstream sees the
+	// gate's node as the one that sends. If one is nil, no pauses are kept.
+	Pauses     Pauses
+	RetryAfter func(status int, h http.Header) time.Duration
 
 	leaving atomic.Bool
 	mu      sync.Mutex
@@ -74,10 +77,6 @@
 
 // Serve serves the connection of a node that has sent a request, until it is closed.
 func (g *Gate) Serve(ctx context.Context, peer net.Conn, request Request) {
-	if request.Pause > 0 {
-		g.respond(peer, g.keepPause(request))
-		return
-	}
 	if !g.enter(request.Node) {
 		g.respond(peer, replyBusy)
 		return
@@ -93,7 +92,7 @@
 	if g.OnOpen != nil {
 		g.OnOpen()
 	}
-	g.carry(peer, upstream)
+	g.carry(peer, upstream, request.Upstream)
 }
 
 // enter counts a connection, unless the gate carries enough.
@@ -120,19 +119,6 @@
 	}
 }
 
-// keepPause keeps the pause of a request.
-func (g *Gate) keepPause(request Request) reply {
-	v := g.View()
-	if _, ok := v.Peers[request.Node]; !ok || g.Pauses == nil {
-		return replyUnknown
-	}
-	if _, known := addressOf(v, request.Upstream); !known {
-		return replyUnknown
-	}
-	g.Pauses.KeepPause(request.Upstream, request.Pause)
-	return replyNoted
-}
-
 // connect connects to the upstream of a request.
 func (g *Gate) connect(ctx context.Context, request Request) (net.Conn, reply) {
 	v := g.View()
@@ -181,7 +167,7 @@
 }
 
 // carry copies bytes in both directions until both connections are closed.
-func (g *Gate) carry(peer, upstream net.Conn) {
+func (g *Gate) carry(peer, upstream net.Conn, id snipeford.UpstreamID) {
 	var group sync.WaitGroup
 	group.Go(func() {
 		err := copyBytes(upstream, peer)
@@ -193,7 +179,7 @@
 		reset(upstream)
 	})
 	frames := &frameWriter{to: peer}
-	err := copyBytes(frames, upstream)
+	err := copyBytes(frames, io.TeeReader(upstream, &headWatch{onHead: func(status int, h http.Header) { g.keepPause(id, status, h) }}))
 	if err == nil {
 		err = frames.end()
 	}
@@ -208,6 +194,16 @@
 	_ = upstream.Close()
 }
 
+// keepPause keeps the pause that the head of a response asks for.
+func (g *Gate) keepPause(id snipeford.UpstreamID, status int, h http.Header) {
+	if g.Pauses == nil || g.RetryAfter == nil {
+		return
+	}
+	if d := g.RetryAfter(status, h); d > 0 {
+		g.Pauses.KeepPause(id, d)
+	}
+}
+
 // reset closes a connection with a reset.
 func reset(c net.Conn) {
 	switch c := c.(type) {
--- a/internal/operate/edge/detours.go
+++ b/internal/operate/edge/detours.go
@@ -4,9 +4,9 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"time"
 
-	"snipeford"
 	"snipeford/internal/control/directory"
 	"snipeford/internal/fleet/detour"
 	"snipeford/internal/upstream/connection"
@@ -18,20 +18,17 @@
 	n.pool.OnOpen = func(string) { n.counts.ConnectionOpened() }
 	n.pool.OnCutOff = n.cutOffChanged
 	n.pool.Known = func() []string { return addresses(n.follower.current()) }
-	n.detours = &detour.Client{Self: n.self, Timer: n.timer, View: n.follower.current, Dial: connection.Dial}
-	n.pool.Detours = n.detours
+	n.pool.Detours = &detour.Client{Self: n.self, Timer: n.timer, View: n.follower.current, Dial: connection.Dial}
 	n.gate.Timer, n.gate.View, n.gate.Upstreams, n.gate.OnOpen = n.timer, n.follower.current, n.pool, n.counts.DetourCarried
 	n.peerServer.Detour = n.serveDetour
 }
 
-// initPauses connects the relay, which keeps the pauses that upstreams ask for, with the
-// detours of this node and of others.
+// initPauses makes the gate keep the pauses that upstreams ask of this node in responses to
+// other nodes, and those that they ask for in its own.
 func (n *Node) initPauses() {
 	n.gate.Pauses = n.relay
-	n.relay.TellPause = func(through snipeford.NodeID, id snipeford.UpstreamID, d time.Duration) {
-		if err := n.detours.TellPause(context.Background(), through, id, d); err != nil {
-			n.log.Warn("cannot tell a node of a pause", err, "Peer", through, "Upstream", id)
-		}
+	n.gate.RetryAfter = func(status int, h http.Header) time.Duration {
+		return n.platform.HeaderCodec.DecodeResponse(status, h).Directives.RetryAfter
 	}
 }
 
--- a/internal/operate/edge/edge.go
+++ b/internal/operate/edge/edge.go
@@ -104,7 +104,6 @@
 	relay      *relay.Server
 	pool       *connection.Pool
 	gate       detour.Gate
-	detours    *detour.Client
 	self       directory.Peer
 	platform   Platform
 	// quarantines holds the latest decisions on prefix parts that are not stored yet.
--- a/internal/request/relay/pauses.go
+++ b/internal/request/relay/pauses.go
@@ -55,7 +55,7 @@
 func (s *Server) KeepPause(id snipeford.UpstreamID, d time.Duration) {
 	if s.pauses.report(s.Timer.Now(), id, d) {
 		s.Metrics.PauseBegan()
-		s.Log.Info("upstream asks for a pause, as another node tells", "Upstream", id, "PauseMs", d.Milliseconds())
+		s.Log.Info("upstream asks for a pause, in a response to another node", "Upstream", id, "PauseMs", d.Milliseconds())
 	}
 }
 
@@ -116,9 +116,6 @@
 	if d <= 0 {
 		return
 	}
-	if x.Through != "" && c.TellPause != nil {
-		go c.TellPause(x.Through, id, d)
-	}
 	c.keepPause(service, id, d)
 	if x.Decoded.NotRun {
 		c.turnedAway = append(c.turnedAway, id)
--- a/internal/request/relay/pauses_opening_test.go
+++ b/internal/request/relay/pauses_opening_test.go
@@ -81,38 +81,6 @@
 	}
 }
 
-// TestPauseStatedThroughAnotherNode guards against a node that goes on to carry requests to
-// an upstream which has asked it for a pause, in a response that only the node behind it
-// reads.
-func TestPauseStatedThroughAnotherNode(t *testing.T) {
-	for path, serve := range pauseRoutes {
-		t.Run(path, func(t *testing.T) {
-			t.Parallel()
-			h, _ := newPauseHarness(t, respondPause("2.5"), serve)
-			view := *h.relay.View()
-			list := append([]directory.Upstream(nil), view.Usable["s"]...)
-			h.relay.Pool.Detours = detourTo(list[0].Address)
-			// Nothing listens at this port.
-			list[0].Address = "127.0.0.1:1"
-			view.Usable = map[snipeford.ServiceName][]directory.Upstream{"s": list}
-			h.relay.View = func() *directory.View { return &view }
-			told := make(chan string, 1)
-			h.relay.TellPause = func(through snipeford.NodeID, id snipeford.UpstreamID, d time.Duration) {
-				told <- fmt.Sprint(through, " ", id, " ", d)
-			}
-			assertResponse(t, h.call(t, http.MethodPost, path), 200, "")
-			select {
-			case got := <-told:
-				if want := "other a 2.5s"; got != want {
-					t.Errorf("got %q told, want %q", got, want)
-				}
-			case <-time.After(time.Second):
-				t.Error("got nothing told, want the pause")
-			}
-		})
-	}
-}
-
 // TestPauseOfAddressWithTwoRows guards against requests to an upstream in its pause under the
 // name of the one that had its address before, whose row is still there. The upstream turns
 // them away as misdirected, but they reach it.
--- a/internal/request/relay/server.go
+++ b/internal/request/relay/server.go
@@ -116,9 +116,6 @@
 	// which an unknown service or key is reported as such.
 	MaxKeyAge      time.Duration
 	MaxNegativeAge time.Duration
-	// TellPause tells a node that an upstream wants no requests from it for d, as it has
-	// stated in a response through that node. Nil means that no requests go through others.
-	TellPause func(through snipeford.NodeID, id snipeford.UpstreamID, d time.Duration)
 	// UpstreamLeaves records an upstream whose response says that it leaves, and returns
 	// whether that is new. When it returns, View has no such upstream. It may be nil.
 	UpstreamLeaves func(u snipeford.LeavingUpstream) bool
