--- a/internal/control/directory/copied_rows_test.go
+++ b/internal/control/directory/copied_rows_test.go
@@ -38,3 +38,34 @@
 	s.Apply(seconds(5), snipeford.UpstreamRows, snipeford.Batch{Changes: []snipeford.Change{change(t, "u1", incarnation(upstream("a"), "3"))}}, jsonDecoder{})
 	assertUpstreams(t, s, "u1")
 }
+
+// TestRowWrittenAfterReturnIsRead guards against a second snapshot after the store's return
+// whose rows are all taken for those of the copy: upstreams that were replaced since are
+// left unused, and one that leaves is used for seconds under its earlier incarnation.
+func TestRowWrittenAfterReturnIsRead(t *testing.T) {
+	leaving := incarnation(upstream("a"), "9")
+	leaving.Leaving = true
+	for name, tt := range map[string]struct {
+		rows []snipeford.Change
+		want []snipeford.UpstreamID
+	}{
+		"rows of the copy":            {nil, []snipeford.UpstreamID{"u3"}},
+		"replaced":                    {[]snipeford.Change{change(t, "u2", incarnation(upstream("a"), "7"))}, []snipeford.UpstreamID{"u2", "u3"}},
+		"new incarnation that leaves": {[]snipeford.Change{change(t, "u3", leaving)}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s, copied := newerThanCopy(t)
+			rows := map[string]snipeford.Change{}
+			for _, c := range append(copied.Changes, tt.rows...) {
+				rows[c.Key] = c
+			}
+			second := snipeford.Batch{Snapshot: true}
+			for _, c := range rows {
+				second.Changes = append(second.Changes, c)
+			}
+			s.KeepMissing(0)
+			s.Apply(seconds(11), snipeford.UpstreamRows, second, jsonDecoder{})
+			assertUpstreams(t, s, tt.want...)
+		})
+	}
+}
--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -212,6 +212,10 @@
 func (s *State) applyUpstreams(now snipeford.Instant, b snipeford.Batch, decoder snipeford.RowDecoder) []InvalidRow {
 	var invalid []InvalidRow
 	present := map[snipeford.UpstreamID]bool{}
+	fromCopy := s.fromCopy(now, b)
+	if fromCopy && s.copied.rows == nil {
+		s.copied.keepRows(b.Changes)
+	}
 	for _, change := range b.Changes {
 		id := snipeford.UpstreamID(change.Key)
 		present[id] = true
@@ -222,12 +226,12 @@
 		}
 		u, ok := decoder.Upstream(change.Key, change.Value)
 		if !ok {
-			s.removeUndecodable(now, id, s.fromCopy(now, b))
+			s.removeUndecodable(now, id, fromCopy)
 			invalid = append(invalid, InvalidRow{change.Key, errNoUpstream})
 			continue
 		}
 		row := Upstream{Upstream: u, ColdUntil: now.Add(u.ColdTimeLeft)}
-		if s.fromCopy(now, b) && s.deferCopied(now, id, row) {
+		if fromCopy && s.copied.has(change) && s.deferCopied(now, id, row) {
 			continue
 		}
 		s.replace(now, id, row)
--- a/internal/control/directory/era.go
+++ b/internal/control/directory/era.go
@@ -1,6 +1,7 @@
 package directory
 
 import (
+	"bytes"
 	"maps"
 	"time"
 
@@ -33,6 +34,9 @@
 	// until is the end of the period in which rows of a snapshot may be older than what
 	// the directory knows.
 	until snipeford.Instant
+	// rows holds the values of the first snapshot of upstreams in the era, by their keys. A
+	// row of a later one with another value was written after the store's return.
+	rows map[string][]byte
 	// upstreams holds the rows that wait for the end of the period, since the directory
 	// knows something newer about their upstreams.
 	upstreams map[snipeford.UpstreamID]Upstream
@@ -48,7 +52,7 @@
 // an upstream usable again that was leaving, removed or replaced, nor does a missing row
 // put a failure domain back into service or remove a node.
 func (s *State) BeginEra(now snipeford.Instant) {
-	s.copied.until, s.copied.operatorsRead = now.Add(copyPeriod), false
+	s.copied.until, s.copied.operatorsRead, s.copied.rows = now.Add(copyPeriod), false, nil
 	s.initMaps()
 	// No incarnation of an upstream is ready again after it has left.
 	for _, u := range s.upstreams {
@@ -65,6 +69,19 @@
 	}
 }
 
+func (c *copiedRows) keepRows(changes []snipeford.Change) {
+	c.rows = map[string][]byte{}
+	for _, change := range changes {
+		c.rows[change.Key] = change.Value
+	}
+}
+
+// has reports whether the first snapshot of the era had a row as it is in a change.
+func (c *copiedRows) has(change snipeford.Change) bool {
+	value, found := c.rows[change.Key]
+	return found && bytes.Equal(value, change.Value)
+}
+
 // fromCopy reports whether the rows of a batch may be older than those that the directory
 // has.
 func (s *State) fromCopy(now snipeford.Instant, b snipeford.Batch) bool {
@@ -141,7 +158,7 @@
 	for key := range s.copied.members {
 		s.removeMember(key)
 	}
-	s.copied.upstreams, s.copied.members = nil, nil
+	s.copied.upstreams, s.copied.members, s.copied.rows = nil, nil, nil
 	return changed
 }
 
