Keep no upstream for a feeder whose row a node has read since the outage

The store had come back from a copy; the node had read all rows since, with that of the replica, and then subscribed to a feeder, which knew of the removal. The feeder stated how much longer rows that may have expired in the outage were to be kept, and the node kept the replica until two seconds after the feeder's end of the outage.

A feeder states with that time up to which version rows may have expired. A node that has read that version, or a later one, keeps nothing: the feeder's first rows after the outage, or any of an era that ended it. Feeders of earlier versions state none, and are heeded as before.

TestRowRemovedBeforeSubscription failed before where the node had read the rows after the outage or the return.

--- a/internal/fleet/grant/rows.go
+++ b/internal/fleet/grant/rows.go
@@ -32,6 +32,11 @@
 	// KeepMissing is how much longer, in nanoseconds, upstreams whose rows are missing
 	// are used: rows of live upstreams expired in an outage of the store.
 	KeepMissing time.Duration `json:",omitempty"`
+	// ExpiredUpTo is the version up to which rows may have expired in that outage: a node
+	// with the rows of this version, or of a later one of the era, has read them since and
+	// keeps no upstreams. Zero means that the sender, a node of an earlier version, does
+	// not know.
+	ExpiredUpTo uint64 `json:",omitempty"`
 	// Feeder is the node that sent the rows. The receiver sets it.
 	Feeder snipeford.NodeID `json:"-"`
 }
--- a/internal/operate/edge/collections.go
+++ b/internal/operate/edge/collections.go
@@ -128,7 +128,9 @@
 	if f.mayHaveExpired {
 		keepMissingUntil = f.reregisteredAt
 	}
-	if r.KeepMissing > 0 {
+	rows := f.rowsOf(r.Collection)
+	hasReadSince := rows.loaded && r.Batch.Era == f.era && r.ExpiredUpTo > 0 && rows.version >= r.ExpiredUpTo
+	if r.KeepMissing > 0 && !hasReadSince {
 		keepMissingUntil = max(keepMissingUntil, f.timer.Now().Add(r.KeepMissing))
 	}
 	f.applyBatch(r.Collection, r.Batch, r.Feeder, keepMissingUntil)
@@ -175,9 +177,12 @@
 		return false
 	}
 	rows.origin, rows.version, rows.loaded = origin, b.Version, true
-	if c == snipeford.UpstreamRows {
+	if c == snipeford.UpstreamRows && f.mayHaveExpired {
 		// Rows that are removed later were there after the outage.
 		f.mayHaveExpired = false
+		if f.expiredUpTo == 0 {
+			f.expiredUpTo = b.Version
+		}
 	}
 	if c == snipeford.OperatorRows {
 		f.operatorRowsOrigin.Store(&origin)
@@ -248,6 +253,9 @@
 	if err != nil {
 		f.log.Warn("rows are sent uncompressed", err, "Collection", c)
 	}
+	if keepMissing > 0 {
+		r.ExpiredUpTo = f.expiredUpTo
+	}
 	return r
 }
 
--- a/internal/operate/edge/era.go
+++ b/internal/operate/edge/era.go
@@ -26,7 +26,7 @@
 	f.log.Info("store came back from a copy", "Known", known, "Received", seen)
 	f.counts.EraBegan()
 	now := f.timer.Now()
-	f.outage, f.outageEndedAt, f.mayHaveExpired = false, now, true
+	f.outage, f.outageEndedAt, f.mayHaveExpired, f.expiredUpTo = false, now, true, 1
 	f.reregisteredAt = now.Add(directory.ReregisterPeriod)
 	f.rewriteEnd = f.reregisteredAt
 	f.state.BeginEra(now)
--- a/internal/operate/edge/follower.go
+++ b/internal/operate/edge/follower.go
@@ -126,6 +126,9 @@
 	// mayHaveExpired is set from a failed call until the rows of upstreams have been read
 	// again: rows of live upstreams may have expired meanwhile.
 	mayHaveExpired bool
+	// expiredUpTo is the version of the first rows of upstreams after the last outage, or
+	// the first version of all if that ended with a new era.
+	expiredUpTo uint64
 	// collections holds the encoded rows of each collection, for other nodes.
 	collections      map[snipeford.Collection]*rowSet
 	subscribers      map[int]func(grant.Rows)
@@ -307,7 +310,7 @@
 func (f *follower) recordFailure(c snipeford.Collection, err error, wasFailing bool, sent snipeford.Instant) {
 	f.mu.Lock()
 	if sent > f.lastResponded {
-		f.outage, f.mayHaveExpired = true, true
+		f.outage, f.mayHaveExpired, f.expiredUpTo = true, true, 0
 	}
 	f.mu.Unlock()
 	if !wasFailing {
--- a/internal/operate/edge/removed_rows_test.go
+++ b/internal/operate/edge/removed_rows_test.go
@@ -88,3 +88,49 @@
 		assertUsable(t, 0, f, fed)
 	})
 }
+
+// TestRowRemovedBeforeSubscription guards against requests to an upstream whose row was
+// removed after the store's return, at a node that had read it after the return, too, and
+// then subscribed to a feeder.
+func TestRowRemovedBeforeSubscription(t *testing.T) {
+	tests := []struct {
+		name       string
+		era        snipeford.Era
+		hasReadNow bool
+		want       int
+	}{
+		{"read after the outage", 0, true, 0},
+		{"read before the outage", 0, false, 1},
+		{"read after the return from a copy", 1, true, 0},
+		{"read before the return from a copy", 1, false, 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				feeder, _ := newFeederPair(t, tt.era)
+				node := newFollower(&scriptedFeed{})
+				node.timer = feeder.timer
+				read := func(f *follower, b snipeford.Batch) {
+					f.applyStoreRows(snipeford.UpstreamRows, b, f.timer.SinceBoot())
+				}
+				before := snipeford.Batch{Era: tt.era, Snapshot: true, Version: 1, Changes: upstreamRow}
+				after := before
+				after.Version = 2
+				if tt.era > 0 {
+					after.Era = tt.era + 1
+				}
+				read(node, before)
+				feeder.fail()
+				node.fail()
+				time.Sleep(time.Second)
+				if tt.hasReadNow {
+					read(node, after)
+				}
+				read(feeder, after)
+				read(feeder, snipeford.Batch{Era: after.Era, After: 2, Version: 3, Changes: removedRow})
+				defer feeder.subscribe(node.revisions(), node.applyPeerRows)()
+				assertUsable(t, tt.want, node)
+			})
+		})
+	}
+}
