Match addresses of pauses for known upstreams only

An upstream that has left the view since it responded has no address there; the empty one was compared with those of other rows. None of them is empty today.

--- a/internal/request/relay/pauses.go
+++ b/internal/request/relay/pauses.go
@@ -120,11 +120,11 @@
 	if x.Decoded.NotRun {
 		c.turnedAway = append(c.turnedAway, id)
 	}
-	upstream, _ := c.findUpstream(service, id)
+	upstream, known := c.findUpstream(service, id)
 	for name, list := range c.view.Usable {
 		for _, u := range list {
 			atFault := name == service && x.Decoded.FaultAddress != "" && u.Address == x.Decoded.FaultAddress
-			if u.ID != id && (atFault || u.Address == upstream.Address) {
+			if u.ID != id && (atFault || known && u.Address == upstream.Address) {
 				c.keepPause(name, u.ID, d)
 				c.turnedAway = append(c.turnedAway, u.ID)
 			}
