--- a/cmd/standin/soak/run.go
+++ b/cmd/standin/soak/run.go
@@ -158,19 +158,24 @@
 	if n := f.requestLog.Count(standin.MisusedHeaders); n > 0 {
 		r.addViolation("%d requests reached a replica with a wrong organisation or prompt, or with an API key", n)
 	}
-	// Nodes without a configuration that is fresh enough have to refuse requests. Where the
-	// store comes back from copies, only requests at nodes in touch count; variant Config
-	// has a check of its own.
-	sent, completed := r.Sent, r.Completed
 	switch f.plan.Variant {
 	case Config:
-		return
+		// Nodes without a configuration that is fresh enough have to refuse requests. Its own
+		// check considers the nodes in touch.
 	case CutOff:
+		// Nothing helps while no node reaches a replica.
 		reaching := f.countReaching(r)
-		sent, completed = reaching.sent, reaching.begun
+		r.checkShare(reaching.sent, reaching.begun)
 	case Limit:
-		sent, completed = f.countInTouch(r)
+		r.checkShare(f.countInTouch(r))
+		r.checkShare(r.Sent, r.Completed)
+	default:
+		r.checkShare(r.Sent, r.Completed)
 	}
+}
+
+// checkShare checks the share of requests that were served.
+func (r *Report) checkShare(sent, completed int) {
 	if float64(completed) < minCompletedShare*float64(sent) {
 		r.addViolation("%d of %d requests got a complete response, want a share of at least %v", completed, sent, minCompletedShare)
 	}
