--- a/review/harness/keys.go
+++ b/review/harness/keys.go
@@ -135,8 +135,8 @@
 	return 0, nil
 }
 
-// lastTenant takes the last tenant away.
-func lastTenant(w *world) (int, error) {
+// lastOrganisation takes the last tenant away.
+func lastOrganisation(w *world) (int, error) {
 	if err := w.startOrders([]map[string]any{tenant("t1", "key-one")}); err != nil {
 		return 2, err
 	}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -12,7 +12,7 @@
 	"storm":    storm,
 	"hang":     stormKill,
 	"drill":    drill,
-	"tenants":  lastTenant,
+	"tenants":  lastOrganisation,
 	"settings": settingsChange,
 }
 
--- a/review/harness/storm.go
+++ b/review/harness/storm.go
@@ -112,16 +112,14 @@
 // The deployment of the storm, and how its replicas crash.
 const (
 	stormNodes       = 6
-	stormPerZone     = 8
+	stormPerDomain   = 8
 	stormRounds      = 16
 	stormRoundTime   = 3500 * time.Millisecond
 	stormDownTime    = 2 * time.Second
 	stormQuickRate   = 117
 	stormFullRate    = 4
-	stormPromptParts = 14
+	stormPromptParts = 30
 	stormTimeout     = 10 * time.Second
-	// stormShare is the share of one core that a node has.
-	stormShare = 0.4
 )
 
 // stormCheck counts the requests on the route /full/ that had no answer at its timeoutMs,
@@ -189,18 +187,17 @@
 )
 
 func (w *world) playStorm(kills bool) (int, error) {
-	w.share = stormShare
 	routes := []map[string]any{streamRoute("r-quick", "/quick/", "llm", 300, 250, 10000), streamRoute("r-full", "/full/", "llm", 3000, 1000, 10000)}
 	w.store.put("op", "config", config(3, routes, []map[string]any{modelService("llm")}, []map[string]any{{"name": "t1", "apiKeys": []string{"key-one"}}}))
 	serve := serveStream(90*time.Millisecond, 45*time.Millisecond, stormEvents)
-	byZone := map[string][]*replica{}
+	byDomain := map[string][]*replica{}
 	for _, zone := range zones {
-		for range stormPerZone {
+		for range stormPerDomain {
 			p, err := w.addReplica("llm", zone, "", 16, 0, serve)
 			if err != nil {
 				return 2, err
 			}
-			byZone[zone] = append(byZone[zone], p)
+			byDomain[zone] = append(byDomain[zone], p)
 		}
 	}
 	if err := w.startNodes(stormNodes); err != nil {
@@ -225,7 +222,7 @@
 			}()
 		}
 		if w.trouble {
-			if err := w.crashZone(byZone, zones[round%len(zones)], serve); err != nil {
+			if err := w.crashDomain(byDomain, zones[round%len(zones)], serve); err != nil {
 				return 2, err
 			}
 		}
@@ -239,22 +236,28 @@
 		w.sleep(calmTime - time.Since(over))
 		hung = w.probeCalm()
 	}
+	return check.judge(w, kills, hung), nil
+}
+
+// judge writes what became of the requests on /full/ at the nodes that were not killed, and
+// returns the exit status.
+func (c *stormCheck) judge(w *world, kills bool, hung int) int {
 	overdue, later := 0, 0
 	for i, n := range w.nodes {
 		if kills && slices.Contains(killed, i) {
 			continue
 		}
-		w.line("node %s: %d requests on /full/, %d without an answer at timeoutMs, %d half a second later", n.name, check.all[n.name], check.overdue[n.name], check.later[n.name])
-		overdue += check.overdue[n.name]
-		later += check.later[n.name]
+		w.line("node %s: %d requests on /full/, %d without an answer at timeoutMs, %d half a second later", n.name, c.all[n.name], c.overdue[n.name], c.later[n.name])
+		overdue += c.overdue[n.name]
+		later += c.later[n.name]
 	}
-	w.line("results of all nodes %v", check.results)
+	w.line("results of all nodes %v", c.results)
 	w.line("judged nodes: %d requests without an answer at timeoutMs, %d half a second later", overdue, later)
 	w.line("judged nodes that serve nothing from %v after the last disruption on: %d", calmTime, hung)
 	if later >= minOverdue && 4*later > overdue || hung > 0 {
-		return 1, nil
+		return 1
 	}
-	return 0, nil
+	return 0
 }
 
 // probeCalm sends requests to the nodes that were not killed, and returns how many nodes
@@ -293,19 +296,19 @@
 // longer than their timeoutMs.
 const minOverdue = 8
 
-// crashZone crashes all replicas of a zone; others start at their addresses, cold.
-func (w *world) crashZone(byZone map[string][]*replica, zone string, serve func(*replica, http.ResponseWriter, *http.Request)) error {
-	w.line("all %d replicas of zone %s crash", len(byZone[zone]), zone)
-	for _, p := range byZone[zone] {
+// crashDomain crashes all replicas of a zone; others start at their addresses, cold.
+func (w *world) crashDomain(byDomain map[string][]*replica, zone string, serve func(*replica, http.ResponseWriter, *http.Request)) error {
+	w.line("all %d replicas of zone %s crash", len(byDomain[zone]), zone)
+	for _, p := range byDomain[zone] {
 		p.crash()
 	}
 	w.sleep(stormDownTime)
-	for i, p := range byZone[zone] {
+	for i, p := range byDomain[zone] {
 		again, err := w.addReplica("llm", zone, p.address, 16, 3*time.Second, serve)
 		if err != nil {
 			return err
 		}
-		byZone[zone][i] = again
+		byDomain[zone][i] = again
 	}
 	w.line("replicas of zone %s are back, cold", zone)
 	return nil
