--- a/review/harness/storm.go
+++ b/review/harness/storm.go
@@ -117,8 +117,6 @@
 	killRounds       = 16
 	stormRoundTime   = 3500 * time.Millisecond
 	stormDownTime    = 2 * time.Second
-	stormQuickRate   = 117
-	stormFullRate    = 4
 	stormPromptParts = 30
 	stormTimeout     = 10 * time.Second
 )
@@ -212,8 +210,8 @@
 	}
 	end := time.Now().Add(3*time.Second + time.Duration(rounds)*stormRoundTime)
 	for i, n := range w.nodes {
-		clients.Go(func() { w.stormClients(n, i, check, "/quick/x", stormQuickRate, 2*time.Second, end) })
-		clients.Go(func() { w.stormClients(n, i+stormNodes, check, "/full/x", stormFullRate, 12*time.Second, end) })
+		clients.Go(func() { w.stormClients(n, i, check, "/quick/x", quickRate(kills), 2*time.Second, end) })
+		clients.Go(func() { w.stormClients(n, i+stormNodes, check, "/full/x", fullRate(kills), 12*time.Second, end) })
 	}
 	w.sleep(3 * time.Second)
 	for round := range rounds {
@@ -321,13 +319,18 @@
 
 // stormClients sends a node's part of the requests of a kind until an instant, and waits
 // for their answers.
-func (w *world) stormClients(n *node, series int, check *stormCheck, path string, rate int, patience time.Duration, end time.Time) {
+func (w *world) stormClients(n *node, series int, check *stormCheck, path string, interval func(time.Duration) time.Duration, patience time.Duration, end time.Time) {
 	client := newClient()
-	ticks := time.NewTicker(time.Second * stormNodes / time.Duration(rate))
+	begin, current := time.Now(), interval(0)
+	ticks := time.NewTicker(current)
 	defer ticks.Stop()
 	var open sync.WaitGroup
 	for serial := series * 1000000; time.Now().Before(end) && w.ctx.Err() == nil; serial++ {
 		<-ticks.C
+		if next := interval(time.Since(begin)); next != current {
+			current = next
+			ticks.Reset(next)
+		}
 		open.Go(func() {
 			q := request{
 				id: fmt.Sprintf("q-%08d", serial), method: http.MethodPost, host: host, path: path, key: "key-one", tokens: "4960,1600",
@@ -338,3 +341,39 @@
 	}
 	open.Wait()
 }
+
+// The usual rates are those of the sheet, the bursts 2.5 and 2.8 times as much.
+const (
+	burstTime  = 9500 * time.Millisecond
+	quickUsual = 47
+	quickBurst = 117
+	fullUsual  = 1.44
+	fullBurst  = 4
+)
+
+// quickRate returns a function from the time that has passed to the time between two requests
+// with short prompts at a node. Either bursts of short and of long prompts take turns, as on the
+// days of the site, or one burst of each follows the other.
+func quickRate(turns bool) func(time.Duration) time.Duration {
+	return func(since time.Duration) time.Duration {
+		if turns && int(since/burstTime)%2 == 1 {
+			return nodeInterval(quickUsual)
+		}
+		return nodeInterval(quickBurst)
+	}
+}
+
+// fullRate returns the same for requests with long prompts.
+func fullRate(turns bool) func(time.Duration) time.Duration {
+	return func(since time.Duration) time.Duration {
+		if turns && int(since/burstTime)%2 == 0 {
+			return nodeInterval(fullUsual)
+		}
+		return nodeInterval(fullBurst)
+	}
+}
+
+// nodeInterval returns the time between two requests of one node.
+func nodeInterval(rate float64) time.Duration {
+	return time.Duration(float64(time.Second*stormNodes) / rate)
+}
