--- a/review/trial/bodies.go
+++ b/review/trial/bodies.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,12 +44,16 @@
 		if err == nil {
 			opened.Add(1)
 			stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-			_, err = fmt.Fprintf(c, "POST /catalogue/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Request-Deadline: 15000\r\nApi-Key: %s\r\nContent-Length: %d\r\n\r\n", host, nextID(), apiKey, bodyBytes)
+			id := nextID()
+			m.fleet.record.add("sent", map[string]any{"request": id, "to": m.name, "path": "/catalogue/x", "bodyBytes": len(body), "declared": bodyBytes})
+			_, err = fmt.Fprintf(c, "POST /catalogue/x HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Request-Deadline: 15000\r\nApi-Key: %s\r\nContent-Length: %d\r\n\r\n", host, id, apiKey, bodyBytes)
 			if err == nil {
 				_, _ = c.Write(body)
 			}
 			// The response, or the end of the connection.
-			_, _ = io.Copy(io.Discard, c)
+			answer, _ := io.ReadAll(io.LimitReader(c, 4096))
+			line, _, _ := strings.Cut(string(answer), "\r\n")
+			m.fleet.record.add("answered", map[string]any{"request": id, "line": line})
 			stop()
 			_ = c.Close()
 			closed.Add(1)
--- a/review/trial/paths.go
+++ b/review/trial/paths.go
@@ -24,7 +24,7 @@
 
 // longPath sends requests with a path of slashes over one connection, one after the other.
 func longPath(ctx context.Context, m *machine, ip string, answered *atomic.Int64) {
-	request := "GET " + strings.Repeat("/", pathBytes) + " HTTP/1.1\r\nHost: " + host + "\r\n\r\n"
+	path := strings.Repeat("/", pathBytes)
 	for ctx.Err() == nil {
 		c, err := dialFrom(ip)(ctx, "tcp4", m.callers())
 		if err != nil {
@@ -33,13 +33,16 @@
 		}
 		stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 		for in := bufio.NewReader(c); err == nil; {
-			if _, err = io.WriteString(c, request); err != nil {
+			id := nextID()
+			m.fleet.record.add("sent", map[string]any{"request": id, "to": m.name, "pathBytes": pathBytes})
+			if _, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n\r\n", path, host, id); err != nil {
 				break
 			}
 			var resp *http.Response
 			if resp, err = http.ReadResponse(in, nil); err == nil {
 				_, err = io.Copy(io.Discard, resp.Body)
 				answered.Add(1)
+				m.fleet.record.add("answered", map[string]any{"request": id, "status": resp.StatusCode})
 			}
 		}
 		stop()
